--- /dev/null
+++ b/beamhill/dispatch/dispatch_messages.cc
@@ -0,0 +1,112 @@
+#include "beamhill/dispatch/dispatch_messages.h"
+
+#include <cstddef>
+
+#include "beamhill/messages/internal/cbor_fields.h"
+
+namespace beamhill {
+namespace {
+
+using messages_internal::Json;
+using messages_internal::ParseCbor;
+
+// Each structure lists its own fields.
+struct DispatchFields {
+  template <typename T>
+  static auto Of(T& v) {
+    using U = std::remove_const_t<T>;
+    if constexpr (std::is_same_v<U, Resources>) {
+      return std::tie(v.cpu_millis, v.memory_mib, v.accelerators);
+    } else {
+      return U::Fields(v);
+    }
+  }
+};
+using Codec = messages_internal::CborFields<DispatchFields>;
+
+template <size_t I = 0>
+Result<DispatchMessage> DecodeAs(size_t number, const Json& body) {
+  if constexpr (I == std::variant_size_v<DispatchMessage>) {
+    return Error{ErrorCode::kInvalidArgument, "unknown message number",
+                 "run the same version of beamhill on every VM"};
+  } else {
+    if (number != I) return DecodeAs<I + 1>(number, body);
+    std::variant_alternative_t<I, DispatchMessage> message;
+    if (!Codec::From(body, &message)) {
+      return Error{ErrorCode::kInvalidArgument,
+                   "wrong fields in message " + std::to_string(I),
+                   "run the same version of beamhill on every VM"};
+    }
+    return DispatchMessage(std::move(message));
+  }
+}
+
+template <typename Record>
+std::string EncodeAny(const Record& record) {
+  std::string bytes;
+  Json::to_cbor(Codec::To(record), bytes);
+  return bytes;
+}
+
+}  // namespace
+
+std::string_view NotBegunReasonName(NotBegunReason reason) {
+  switch (reason) {
+    case NotBegunReason::kStopped:
+      return "stopped";
+    case NotBegunReason::kNoRoom:
+      return "no_room";
+    case NotBegunReason::kFenced:
+      return "fenced";
+    case NotBegunReason::kOutdated:
+      return "outdated";
+    case NotBegunReason::kNotAllowed:
+      return "not_allowed";
+    case NotBegunReason::kUnhealthy:
+      return "unhealthy";
+  }
+  return "unhealthy";
+}
+
+std::string EncodeDispatch(const DispatchMessage& message) {
+  Json array = Json::array({message.index()});
+  std::visit([&array](const auto& m) { array.push_back(Codec::To(m)); },
+             message);
+  std::string bytes;
+  Json::to_cbor(array, bytes);
+  return bytes;
+}
+
+Result<DispatchMessage> DecodeDispatch(std::string_view bytes) {
+  const Json json = ParseCbor(bytes);
+  if (!json.is_array() || json.size() != 2 || !json[0].is_number_unsigned()) {
+    return Error{ErrorCode::kInvalidArgument, "not a message", ""};
+  }
+  return DecodeAs(json[0].get<size_t>(), json[1]);
+}
+
+std::string EncodeRecord(const Workflow& record) { return EncodeAny(record); }
+std::string EncodeRecord(const ProgressRecord& record) {
+  return EncodeAny(record);
+}
+std::string EncodeRecord(const OwnerRecord& record) {
+  return EncodeAny(record);
+}
+std::string EncodeRecord(const VmRecord& record) { return EncodeAny(record); }
+
+template <typename Record>
+Result<Record> DecodeRecord(std::string_view bytes) {
+  Record record;
+  if (!Codec::From(ParseCbor(bytes), &record)) {
+    return Error{ErrorCode::kInternal, "a stored record has another shape",
+                 "it was written by another version of beamhill"};
+  }
+  return record;
+}
+
+template Result<Workflow> DecodeRecord<Workflow>(std::string_view);
+template Result<ProgressRecord> DecodeRecord<ProgressRecord>(std::string_view);
+template Result<OwnerRecord> DecodeRecord<OwnerRecord>(std::string_view);
+template Result<VmRecord> DecodeRecord<VmRecord>(std::string_view);
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -0,0 +1,353 @@
+// The messages between the scheduler's processes on a platform that lends
+// VMs with their own task runners.
+//
+// The owner (one scheduler process) dials each VM's executor and attaches;
+// the other schedulers dial the owner. Both kinds of link carry this one set.
+#ifndef BEAMHILL_DISPATCH_DISPATCH_MESSAGES_H_
+#define BEAMHILL_DISPATCH_DISPATCH_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+#include "beamhill/base/error.h"
+#include "beamhill/base/time.h"
+#include "beamhill/workflow/workflow.h"
+#include "beamhill/workflow/workflow_progress.h"
+
+namespace beamhill {
+
+// Owner to executor, first on a link: obey this epoch from now on and answer
+// with the whole inventory.
+struct Attach {
+  std::string owner;
+  uint64_t epoch = 0;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.owner, s.epoch);
+  }
+};
+
+// Owner to executor, in answer to a heartbeat: what runs may run on for
+// `term` from the echoed stamp.
+struct RenewLease {
+  uint64_t epoch = 0;
+  TimePoint echoed_stamp{};
+  Duration term{};
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.echoed_stamp, s.term);
+  }
+};
+
+struct StartRun {
+  uint32_t index = 0;
+  uint64_t run = 0;
+  std::string checkpoint;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.index, s.run, s.checkpoint);
+  }
+};
+
+// Owner to executor: start these tasks of one step.
+struct StartRuns {
+  uint64_t epoch = 0;
+  std::string life;  // Of the runner that is meant; another one ignores it.
+  std::string workflow;
+  uint32_t round = 0;
+  uint32_t step = 0;
+  std::string payload;
+  bool fills = false;
+  Duration tail_target{};
+  std::vector<StartRun> runs;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.life, s.workflow, s.round, s.step, s.payload,
+                    s.fills, s.tail_target, s.runs);
+  }
+};
+
+// What pacing needs to know of a run.
+struct RunTraits {
+  RunRef run;
+  bool fills = false;
+  Duration tail_target{};
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.run, s.fills, s.tail_target);
+  }
+};
+
+// Owner to executor, after an inventory: the traits of what it found, for an
+// executor that has restarted.
+struct RunTraitsList {
+  uint64_t epoch = 0;
+  std::string life;
+  std::vector<RunTraits> runs;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.life, s.runs);
+  }
+};
+
+// Owner to executor: stop these runs, or make sure that they never begin.
+struct StopRuns {
+  uint64_t epoch = 0;
+  std::string life;
+  std::vector<RunRef> runs;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.life, s.runs);
+  }
+};
+
+// Owner to executor: ends up to this number are durable.
+struct EndsSettled {
+  uint64_t epoch = 0;
+  std::string life;
+  uint64_t through = 0;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.life, s.through);
+  }
+};
+
+// Executor to owner, twice a second. `epoch` is the highest that it obeys.
+struct VmHeartbeat {
+  uint64_t epoch = 0;
+  TimePoint stamp{};
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.stamp);
+  }
+};
+
+// What the runner on a VM says of itself. Executor to owner, on each change.
+struct VmStatus {
+  std::string life;  // Names this run of the runner; empty: none is up.
+  std::string service;
+  std::string hall;
+  std::string rack;
+  std::vector<std::string> labels;
+  Resources capacity;
+  bool draining = false;
+  Duration remaining{};  // While draining: the least time that is left.
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.life, s.service, s.hall, s.rack, s.labels, s.capacity,
+                    s.draining, s.remaining);
+  }
+};
+
+// One end as the runner lists it. Numbers rise within a life.
+struct RunEnd {
+  uint64_t number = 0;
+  RunRef run;
+  RunEndKind kind = RunEndKind::kDone;
+  std::string checkpoint;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.number, s.run, s.kind, s.checkpoint);
+  }
+};
+
+// Executor to owner: everything on the VM, asked of the runner under `epoch`.
+struct VmInventory {
+  uint64_t epoch = 0;
+  VmStatus status;
+  std::vector<RunRef> running;
+  std::vector<RunRef> pending;  // Ordered under this epoch, not settled yet.
+  std::vector<RunEnd> ended;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.status, s.running, s.pending, s.ended);
+  }
+};
+
+enum class NotBegunReason : uint8_t {
+  kStopped,     // A stop made sure that it never begins.
+  kNoRoom,      // The runner holds too much already.
+  kFenced,      // The runner has seen a later epoch.
+  kOutdated,    // The run or its lease end is too old.
+  kNotAllowed,  // The VM may not run the step.
+  kUnhealthy,   // The runner turned it away, or is gone.
+};
+std::string_view NotBegunReasonName(NotBegunReason reason);
+
+struct RunNotBegun {
+  RunRef run;
+  NotBegunReason reason = NotBegunReason::kStopped;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.run, s.reason);
+  }
+};
+
+// Executor to owner, as it happens. Ends are repeated until settled.
+struct RunReports {
+  uint64_t epoch = 0;
+  std::string life;
+  std::vector<RunEnd> ended;
+  std::vector<RunNotBegun> not_begun;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.life, s.ended, s.not_begun);
+  }
+};
+
+// Scheduler to owner, first on a link and then as a heartbeat; and back.
+struct SchedulerHeartbeat {
+  std::string name;
+  uint64_t incarnation = 0;
+  uint64_t epoch = 0;          // Owner: its own. Others: the one they follow.
+  bool store_answers = false;  // Whether the sender reaches the store.
+  uint64_t settings_version = 0;  // Of the newest service settings it knows.
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.name, s.incarnation, s.epoch, s.store_answers,
+                    s.settings_version);
+  }
+};
+
+// To a peer with older service settings: the newest document, unread.
+struct ServiceSettingsCopy {
+  uint64_t version = 0;
+  std::string document;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.version, s.document);
+  }
+};
+
+// Scheduler to owner: this workflow is stored.
+struct WorkflowStored {
+  Workflow workflow;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.workflow);
+  }
+};
+
+// Scheduler to owner: the cancellation of this workflow is stored.
+struct CancelStored {
+  std::string workflow;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.workflow);
+  }
+};
+
+// Owner to scheduler: it knows of the workflow, or of its cancellation.
+struct NoticeTaken {
+  std::string workflow;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.workflow);
+  }
+};
+
+// Scheduler to owner: the state of a workflow, or a queue's waiting count.
+struct Question {
+  uint64_t id = 0;
+  std::string workflow;  // Empty: the question is about `queue`.
+  std::string queue;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.id, s.workflow, s.queue);
+  }
+};
+
+struct Answer {
+  uint64_t id = 0;
+  bool known = false;  // Whether the owner knows the workflow.
+  WorkflowState state = WorkflowState::kQueued;
+  uint64_t waiting = 0;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.id, s.known, s.state, s.waiting);
+  }
+};
+
+// Owner to scheduler: it has stopped acting under `epoch`; take over now.
+struct HandOver {
+  uint64_t epoch = 0;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch);
+  }
+};
+
+using DispatchMessage =
+    std::variant<Attach, RenewLease, StartRuns, StopRuns, EndsSettled,
+                 VmHeartbeat, VmStatus, VmInventory, RunReports,
+                 SchedulerHeartbeat, ServiceSettingsCopy, WorkflowStored,
+                 CancelStored, NoticeTaken, Question, Answer, HandOver,
+                 RunTraitsList>;
+
+// The row that says who owns the deployment's work.
+struct OwnerRecord {
+  uint64_t epoch = 0;
+  uint64_t sequence = 0;  // Rises with each write, so that the row changes.
+  std::string owner;
+  uint64_t incarnation = 0;
+  std::string address;    // Where its peers dial it.
+  bool released = false;  // The owner has stopped acting.
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.sequence, s.owner, s.incarnation, s.address,
+                    s.released);
+  }
+};
+
+// The row by which a VM's executor makes itself known.
+struct VmRecord {
+  std::string vm;
+  std::string address;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.vm, s.address);
+  }
+};
+
+std::string EncodeDispatch(const DispatchMessage& message);
+Result<DispatchMessage> DecodeDispatch(std::string_view bytes);
+
+// The stored records. Decoding fails on bytes of another shape.
+std::string EncodeRecord(const Workflow& record);
+std::string EncodeRecord(const ProgressRecord& record);
+std::string EncodeRecord(const OwnerRecord& record);
+std::string EncodeRecord(const VmRecord& record);
+template <typename Record>
+Result<Record> DecodeRecord(std::string_view bytes);
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_DISPATCH_DISPATCH_MESSAGES_H_
--- /dev/null
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -0,0 +1,250 @@
+// The part of Dispatcher that decides what starts next, and where.
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <utility>
+
+#include "beamhill/dispatch/dispatcher.h"
+
+namespace beamhill {
+namespace {
+
+// Bounds the time that one tick takes; the next one goes on.
+constexpr uint64_t kMaxStartsPerTick = 200;
+// A VM gets no starts when its lease has less than this left: the start
+// would be refused, or cut short at once.
+constexpr Duration kLeastLease = std::chrono::milliseconds(800);
+// Share of what serving tasks ask for that they use on average; what they
+// leave is taken by tasks that fill. From the workloads' sheets.
+constexpr double kServingUse = 0.55;
+// Runs of an owner are numbered from its epoch times this, so that they are
+// above those of earlier owners without any record of them.
+constexpr uint64_t kRunsPerEpoch = 1000;
+
+}  // namespace
+
+uint64_t Dispatcher::NextRun(const WorkflowProgress::Task& task) const {
+  const uint64_t first = (options_.epoch - 1) * kRunsPerEpoch + 1;
+  return std::max(task.run + 1, first);
+}
+
+// On time first, then late, then what earns nothing any more; within these by
+// the queue's priority and the time that is left.
+std::vector<Dispatcher::OpenStepRef> Dispatcher::ByUrgency(
+    TimePoint now, UnixMillis unix_now) {
+  using Rank = std::tuple<int, int32_t, TimePoint>;
+  std::vector<std::pair<Rank, OpenStepRef>> ranked;
+  for (const auto& [id, job] : jobs_) {
+    if (!job->opened || job->progress.over()) continue;
+    if (job->inherited && !unaccounted_.empty()) continue;
+    const Workflow& workflow = job->progress.workflow();
+    int lateness = 0;
+    if (now + job->chain > job->late_until) {
+      lateness = 2;
+    } else if (now + job->chain > job->due) {
+      lateness = 1;
+    }
+    for (const auto& open : job->progress.OpenSteps(unix_now)) {
+      if (workflow.steps[open.step].long_running) lateness = 0;
+      ranked.push_back({Rank{lateness, workflow.policy.priority, job->due},
+                        {job.get(), open}});
+    }
+  }
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<OpenStepRef> ordered;
+  ordered.reserve(ranked.size());
+  for (const auto& entry : ranked) ordered.push_back(entry.second);
+  return ordered;
+}
+
+void Dispatcher::StartWaiting(TimePoint now, UnixMillis unix_now) {
+  no_room_.clear();
+  const uint64_t limit = counts_.starts + kMaxStartsPerTick;
+  for (const OpenStepRef& ref : ByUrgency(now, unix_now)) {
+    if (counts_.starts >= limit) break;
+    const WorkflowStep& step =
+        ref.job->progress.workflow().steps[ref.open.step];
+    if (step.gang) {
+      StartGang(*ref.job, ref.open, now);
+    } else {
+      StartStep(*ref.job, ref.open, now);
+    }
+  }
+  FlushStarts();
+}
+
+void Dispatcher::StartStep(Job& job, const WorkflowProgress::OpenStep& open,
+                           TimePoint now) {
+  const Workflow& workflow = job.progress.workflow();
+  const WorkflowStep& step = workflow.steps[open.step];
+  std::vector<WorkflowProgress::Task>& tasks =
+      job.progress.TasksOf(open.round, open.step);
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    WorkflowProgress::Task& task = tasks[i];
+    if (task.phase != WorkflowProgress::Phase::kWaiting ||
+        now < task.not_before) {
+      continue;
+    }
+    std::string name;
+    Vm* vm = Choose(job, step, open, task.failed_on, now, &name);
+    if (vm == nullptr) return;
+    StartOn(name, *vm, job, {workflow.id, open.round, open.step, i},
+            NextRun(task), now);
+  }
+}
+
+void Dispatcher::StartGang(Job& job, const WorkflowProgress::OpenStep& open,
+                           TimePoint now) {
+  const Workflow& workflow = job.progress.workflow();
+  const WorkflowStep& step = workflow.steps[open.step];
+  std::vector<WorkflowProgress::Task>& tasks =
+      job.progress.TasksOf(open.round, open.step);
+  uint64_t run = 0;
+  std::string checkpoint;
+  for (const WorkflowProgress::Task& task : tasks) {
+    // All members must be free before the next run of the gang.
+    if (task.phase != WorkflowProgress::Phase::kWaiting ||
+        now < task.not_before) {
+      return;
+    }
+    run = std::max(run, NextRun(task));
+    if (checkpoint.empty()) checkpoint = task.checkpoint;
+  }
+  // Reserve the room of all members; give it back if one finds none.
+  std::vector<std::pair<std::string, RunRef>> reserved;
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    std::string name;
+    Vm* vm = Choose(job, step, open, "", now, &name);
+    if (vm == nullptr) {
+      for (const auto& [holder, ref] : reserved) Release(vms_[holder], ref);
+      return;
+    }
+    const RunRef ref{{workflow.id, open.round, open.step, i}, run};
+    Hold(*vm, ref, step);
+    reserved.emplace_back(name, ref);
+  }
+  for (const auto& [name, ref] : reserved) {
+    Release(vms_[name], ref);
+    tasks[ref.task.index].checkpoint = checkpoint;
+    StartOn(name, vms_[name], job, ref.task, run, now);
+  }
+}
+
+bool Dispatcher::Fits(const Vm& vm, const std::string& name, const Job& job,
+                      const WorkflowStep& step, TimePoint now) const {
+  const VmStatus& status = vm.status;
+  if (!vm.linked || !vm.answered || !vm.leased || status.draining ||
+      status.life.empty() ||
+      status.service != job.progress.workflow().service) {
+    return false;
+  }
+  if (now < vm.not_before || vm.lease_bound - now < kLeastLease) return false;
+  if (!step.required_label.empty() &&
+      std::find(status.labels.begin(), status.labels.end(),
+                step.required_label) == status.labels.end()) {
+    return false;
+  }
+  Resources need = step.each;
+  if (step.fills) need.cpu_millis = 0;
+  if (!(status.capacity - vm.used).Holds(need)) return false;
+  if (step.fills) {
+    const double left =
+        static_cast<double>(status.capacity.cpu_millis -
+                            (vm.used.cpu_millis - vm.serving_cpu) -
+                            vm.filling_cpu) -
+        kServingUse * static_cast<double>(vm.serving_cpu);
+    if (left < static_cast<double>(step.each.cpu_millis)) return false;
+  }
+  return health_.MayPlace(name, vm.held.size(), now);
+}
+
+// Lower is better. What serves goes where least is used; what fills goes
+// where most processor time is left over; the rest goes where it fits
+// tightest, so that large tasks find room.
+double Dispatcher::Cost(const Vm& vm, const WorkflowStep& step) const {
+  const auto used = static_cast<double>(vm.used.cpu_millis);
+  const auto filling = static_cast<double>(vm.filling_cpu);
+  const auto serving = static_cast<double>(vm.serving_cpu);
+  const auto whole =
+      static_cast<double>(std::max<int64_t>(vm.status.capacity.cpu_millis, 1));
+  if (step.fills) return (used + filling + serving) / whole;
+  if (step.tail_target > Duration(0)) return (used + 2 * filling) / whole;
+  return -used / whole;
+}
+
+Dispatcher::Vm* Dispatcher::Choose(const Job& job, const WorkflowStep& step,
+                                   const WorkflowProgress::OpenStep& open,
+                                   const std::string& avoid, TimePoint now,
+                                   std::string* name) {
+  const Workflow& workflow = job.progress.workflow();
+  const bool simple = step.max_per_vm == 0 && step.required_label.empty();
+  for (const auto& [service, earlier] : no_room_) {
+    if (simple && service == workflow.service && earlier.fills == step.fills &&
+        step.each.Holds(earlier.each)) {
+      return nullptr;
+    }
+  }
+  Vm* best = nullptr;
+  double best_cost = 0;
+  for (auto& [vm_name, vm] : vms_) {
+    if (!Fits(vm, vm_name, job, step, now)) continue;
+    if (step.max_per_vm > 0) {
+      const auto same =
+          std::count_if(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
+            const TaskRef& task = entry.first.task;
+            return task.workflow == workflow.id && task.round == open.round &&
+                   task.step == open.step;
+          });
+      if (same >= static_cast<int64_t>(step.max_per_vm)) continue;
+    }
+    double cost = Cost(vm, step);
+    // Whole units, so that these outweigh any difference in load.
+    if (!step.near_rack.empty() && vm.status.rack != step.near_rack) cost += 4;
+    if (vm_name == avoid) cost += 8;
+    if (best == nullptr || cost < best_cost) {
+      best = &vm;
+      best_cost = cost;
+      *name = vm_name;
+    }
+  }
+  if (best == nullptr && simple) no_room_.emplace_back(workflow.service, step);
+  return best;
+}
+
+void Dispatcher::StartOn(const std::string& name, Vm& vm, Job& job,
+                         const TaskRef& ref, uint64_t run, TimePoint now) {
+  const Workflow& workflow = job.progress.workflow();
+  const WorkflowStep& step = workflow.steps[ref.step];
+  Hold(vm, {ref, run}, step);
+  const std::string checkpoint =
+      step.saves_progress ? job.progress.At(ref).checkpoint : "";
+  job.progress.OnStarted(ref, run, name, now);
+  ++counts_.starts;
+  StartRuns& starts =
+      starts_[{name, TaskRef{ref.workflow, ref.round, ref.step, 0}}];
+  if (starts.runs.empty()) {
+    starts.epoch = options_.epoch;
+    starts.life = vm.status.life;
+    starts.workflow = ref.workflow;
+    starts.round = ref.round;
+    starts.step = ref.step;
+    starts.payload = workflow.payload;
+    starts.fills = step.fills;
+    starts.tail_target = step.tail_target;
+  }
+  starts.runs.push_back({ref.index, run, checkpoint});
+  Decide(ref.workflow, "run_ordered",
+         ref.ToString() + " run " + std::to_string(run) + " on " + name +
+             ", used " + std::to_string(vm.used.cpu_millis) + " of " +
+             std::to_string(vm.status.capacity.cpu_millis));
+}
+
+void Dispatcher::FlushStarts() {
+  for (auto& [key, starts] : std::exchange(starts_, {})) {
+    Send(key.first, std::move(starts));
+  }
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/dispatch/dispatcher.h
@@ -0,0 +1,253 @@
+// Decides which task runs on which VM, for the one process that owns the
+// deployment's work.
+//
+// Pure: it reads no clock and does no I/O. Messages and times go in; messages
+// for executors and records to store come out.
+//
+// Why a task runs in one place at a time:
+//  - Only one epoch is current; the runners refuse calls of lower ones, and
+//    each executor obeys the highest it has seen.
+//  - A held run is let go only when its end is listed, when a stop has proven
+//    that it never begins, when its runner is another life, or when every
+//    lease that could cover it has run out.
+//  - What an earlier owner may have started waits until all VMs that it could
+//    have used have answered, or its leases have run out. An owner stores its
+//    epoch with a workflow before it starts any of it, so workflows of its
+//    own need not wait.
+//  - An end is settled at the runner only after it is stored.
+//
+//   auto dispatcher = Dispatcher::Create(options, now);
+//   dispatcher->AddWorkflow(workflow, record, now);
+//   dispatcher->OnInventory("vm-3", inventory, now);
+//   dispatcher->Tick(now, unix_now);
+//   for (VmMessage& m : dispatcher->TakeMessages()) Send(m.vm, m.message);
+//   if (auto commit = dispatcher->TakeCommit()) Store(*commit);
+#ifndef BEAMHILL_DISPATCH_DISPATCHER_H_
+#define BEAMHILL_DISPATCH_DISPATCHER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "beamhill/base/time.h"
+#include "beamhill/dispatch/dispatch_messages.h"
+#include "beamhill/placement/worker_health.h"
+#include "beamhill/workflow/workflow_progress.h"
+
+namespace beamhill {
+
+struct DispatcherOptions {
+  uint64_t epoch = 1;
+  // How long a VM's work may go on after its last heartbeat was answered.
+  Duration lease_term = std::chrono::seconds(5);
+  // The runners' clocks may be 2 % slow, ours are taken as exact to 0.5 %.
+  int64_t clock_error_permille = 25;
+  // How long from the taking of the ownership leases of earlier owners may
+  // still be in force.
+  Duration inherited_bound = std::chrono::seconds(14);
+  // VMs that an earlier owner may have used.
+  std::vector<std::string> inherited_vms;
+  // How long the outcome of a workflow that is over can be asked for.
+  Duration retention = std::chrono::seconds(130);
+};
+
+struct VmMessage {
+  std::string vm;
+  DispatchMessage message;
+};
+
+// What one transaction stores.
+struct DispatchCommit {
+  std::vector<std::pair<std::string, ProgressRecord>> progress;
+  std::vector<std::string> forgotten;  // Workflows past their retention.
+};
+
+struct DispatchCounts {
+  uint64_t starts = 0;
+  uint64_t done = 0;
+  uint64_t failed = 0;
+  uint64_t not_begun = 0;
+  uint64_t lapsed = 0;
+  uint64_t adopted = 0;
+  uint64_t stray_stops = 0;
+};
+
+class Dispatcher {
+ public:
+  // Called for each decision that touches a workflow, for the log.
+  using DecisionHook =
+      std::function<void(const std::string& workflow, const std::string& event,
+                         const std::string& detail)>;
+
+  static std::unique_ptr<Dispatcher> Create(const DispatcherOptions& options,
+                                            DecisionHook on_decision,
+                                            TimePoint now);
+
+  // A stored workflow, with its record if one is stored. Known ones are left
+  // as they are.
+  void AddWorkflow(const Workflow& workflow,
+                   const std::optional<ProgressRecord>& record, TimePoint now);
+  void Cancel(const std::string& workflow, TimePoint now);
+  bool Knows(const std::string& workflow) const;
+
+  // The state that may be shown: an end counts once it is stored.
+  std::optional<WorkflowState> StateOf(const std::string& workflow) const;
+  // Workflows of the queue of which nothing has begun.
+  uint64_t WaitingIn(const std::string& queue) const;
+
+  // A link to the VM's executor is up: attach.
+  void OnLinkUp(const std::string& vm);
+  void OnLinkDown(const std::string& vm);
+  // The executor's heartbeat; answered with a lease when the VM may run work.
+  void OnHeartbeat(const std::string& vm, const VmHeartbeat& beat,
+                   TimePoint now);
+  void OnStatus(const std::string& vm, const VmStatus& status);
+  // False when a run of an unknown workflow is among it: load what is stored
+  // and attach anew.
+  bool OnInventory(const std::string& vm, const VmInventory& inventory,
+                   TimePoint now);
+  void OnReports(const std::string& vm, const RunReports& reports,
+                 TimePoint now);
+
+  // Whether leases may be granted and tasks started; set by the keeper of
+  // the ownership.
+  void set_may_act(bool may_act) { may_act_ = may_act; }
+
+  // Lets lapsed work go and starts what can start.
+  void Tick(TimePoint now, UnixMillis unix_now);
+
+  std::vector<VmMessage> TakeMessages();
+  // At most one is out at a time; nothing when there is nothing to store.
+  std::optional<DispatchCommit> TakeCommit(TimePoint now);
+  void OnCommitted(TimePoint now);
+  void OnCommitFailed();
+
+  uint64_t epoch() const { return options_.epoch; }
+  const DispatchCounts& counts() const { return counts_; }
+  size_t workflows() const { return jobs_.size(); }
+  size_t answering_vms() const;
+  size_t unaccounted_vms() const { return unaccounted_.size(); }
+  // One line for each VM and each workflow that is not over.
+  std::string Dump(TimePoint now) const;
+
+ private:
+  struct Job {
+    explicit Job(const Workflow& workflow) : progress(workflow) {}
+
+    WorkflowProgress progress;
+    WorkflowState stored_state = WorkflowState::kQueued;
+    TimePoint due{};         // When the objective ends.
+    TimePoint late_until{};  // When even a late end earns nothing.
+    Duration chain{};
+    bool opened = false;     // Stored under this epoch: tasks may start.
+    bool inherited = false;  // An earlier owner may have started tasks.
+    bool dirty = false;
+    std::optional<TimePoint> over_at;
+  };
+  struct HeldRun {
+    Resources amount;         // Without the processor time of a filler.
+    int64_t filling_cpu = 0;  // What a filler would like of it.
+    bool serves = false;
+    bool stopping = false;
+  };
+  struct Vm {
+    VmStatus status;
+    bool linked = false;
+    bool answered = false;  // Its inventory of this epoch is in.
+    bool leased = false;    // It has had a lease since.
+    int unknown_tries = 0;
+    TimePoint lease_bound{};
+    TimePoint not_before{};  // Back-off after it refused a start.
+    std::map<RunRef, HeldRun> held;
+    Resources used;           // By what doesn't fill.
+    int64_t filling_cpu = 0;  // Asked for by what fills.
+    int64_t serving_cpu = 0;  // Part of `used` that serves.
+    uint64_t processed = 0;   // Highest end taken in, of this life.
+    uint64_t settled = 0;     // Highest end reported as durable.
+  };
+  struct OpenStepRef {
+    Job* job;
+    WorkflowProgress::OpenStep open;
+  };
+
+  Dispatcher(const DispatcherOptions& options, DecisionHook on_decision,
+             TimePoint now);
+
+  Job* Find(const std::string& workflow);
+  void MarkDirty(Job& job);
+  void Send(const std::string& vm, DispatchMessage message);
+  void Decide(const std::string& workflow, const char* event,
+              const std::string& detail);
+  void Account(const std::string& vm);
+
+  void Hold(Vm& vm, const RunRef& run, const WorkflowStep& step);
+  void Release(Vm& vm, const RunRef& run);
+  void Stop(const std::string& name, Vm& vm, const RunRef& run);
+  void StopAllOf(Job& job);
+  void LetGo(const std::string& name, Vm& vm, const RunRef& run,
+             RunEndKind kind);
+  void LetGoAll(const std::string& name, Vm& vm);
+  void ApplyEnd(const std::string& name, Vm& vm, const RunEnd& end,
+                TimePoint now);
+  void ApplyNotBegun(const std::string& name, Vm& vm,
+                     const RunNotBegun& refused, TimePoint now);
+  void Adopt(const std::string& name, Vm& vm, const RunRef& run, TimePoint now);
+  bool AllKnown(const VmInventory& inventory);
+  void OnOver(Job& job, TimePoint now);
+  void SendTraits(const std::string& name, const Vm& vm);
+  void Evacuate(const std::string& name, Vm& vm);
+  void ExpireLeases(TimePoint now);
+  void Settle(const std::map<std::string, std::pair<std::string, uint64_t>>&);
+
+  // In dispatch_placement.cc.
+  void StartWaiting(TimePoint now, UnixMillis unix_now);
+  std::vector<OpenStepRef> ByUrgency(TimePoint now, UnixMillis unix_now);
+  void StartStep(Job& job, const WorkflowProgress::OpenStep& open,
+                 TimePoint now);
+  void StartGang(Job& job, const WorkflowProgress::OpenStep& open,
+                 TimePoint now);
+  Vm* Choose(const Job& job, const WorkflowStep& step,
+             const WorkflowProgress::OpenStep& open, const std::string& avoid,
+             TimePoint now, std::string* name);
+  bool Fits(const Vm& vm, const std::string& name, const Job& job,
+            const WorkflowStep& step, TimePoint now) const;
+  double Cost(const Vm& vm, const WorkflowStep& step) const;
+  void StartOn(const std::string& name, Vm& vm, Job& job, const TaskRef& ref,
+               uint64_t run, TimePoint now);
+  uint64_t NextRun(const WorkflowProgress::Task& task) const;
+  void FlushStarts();
+
+  DispatcherOptions options_;
+  DecisionHook on_decision_;
+  TimePoint taken_at_;
+  bool may_act_ = true;
+
+  std::map<std::string, std::unique_ptr<Job>> jobs_;
+  std::map<std::string, Vm> vms_;
+  std::set<std::string> unaccounted_;
+  WorkerHealth health_;
+  // The step that was last found to have no room anywhere, in this tick.
+  std::vector<std::pair<std::string, WorkflowStep>> no_room_;
+
+  std::set<std::string> dirty_;
+  bool commit_out_ = false;
+  std::vector<std::string> in_commit_;
+  std::vector<std::string> forgetting_;
+  // VM to life and end number that the commit in flight makes durable.
+  std::map<std::string, std::pair<std::string, uint64_t>> settling_;
+
+  // Starts of the current tick, by VM and step.
+  std::map<std::pair<std::string, TaskRef>, StartRuns> starts_;
+  std::vector<VmMessage> outbox_;
+  DispatchCounts counts_;
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_DISPATCH_DISPATCHER_H_
--- /dev/null
+++ b/beamhill/dispatch/ownership_keeper.cc
@@ -0,0 +1,267 @@
+#include "beamhill/dispatch/ownership_keeper.h"
+
+#include <utility>
+
+namespace beamhill {
+namespace {
+
+// Spreads the claims of peers that see the same row.
+constexpr Duration kClaimSpread = std::chrono::milliseconds(60);
+
+}  // namespace
+
+OwnershipKeeper::OwnershipKeeper(const OwnershipKeeperOptions& options,
+                                 Table table, OwnershipKeeperHooks hooks)
+    : options_(options), table_(std::move(table)), hooks_(std::move(hooks)) {
+  look_at_ = hooks_.now();
+}
+
+bool OwnershipKeeper::MayAct() const {
+  return owns_ && SinceConfirmed() < options_.authority_term;
+}
+
+Duration OwnershipKeeper::SinceConfirmed() const {
+  return hooks_.now() - confirmed_at_;
+}
+
+void OwnershipKeeper::OnOwnerHeard(uint64_t epoch) {
+  if (owns_ || epoch < record_.epoch) return;
+  heard_at_ = hooks_.now();
+  look_at_ = heard_at_ + options_.silence_before_look;
+}
+
+void OwnershipKeeper::OnOwnerGone(uint64_t incarnation) {
+  if (owns_ || incarnation == gone_incarnation_) return;
+  gone_incarnation_ = incarnation;
+  hooks_.log("owner_gone", record_.owner);
+  look_at_ = hooks_.now();
+}
+
+void OwnershipKeeper::OnHandOver(uint64_t epoch) {
+  if (owns_ || epoch < record_.epoch) return;
+  hooks_.log("hand_over_received", "epoch " + std::to_string(epoch));
+  handed_over_epoch_ = epoch;
+  look_at_ = hooks_.now();
+}
+
+void OwnershipKeeper::Tick() {
+  const TimePoint now = hooks_.now();
+  if (owns_) {
+    const bool idle = now - last_commit_ >= options_.confirm_interval;
+    if (idle && !committing_ && !releasing_) Commit({}, [](bool) {});
+    return;
+  }
+  if (!busy_ && now >= look_at_) ReadRow();
+}
+
+void OwnershipKeeper::ReadRow() {
+  busy_ = true;
+  const TimePoint sent_at = hooks_.now();
+  const Duration jitter = std::chrono::duration_cast<Duration>(
+      hooks_.random() * options_.look_interval / 2);
+  look_at_ = sent_at + options_.look_interval + jitter;
+  table_.read({options_.row_key},
+              lifetime_.Guard([this, sent_at](Result<std::vector<Row>> rows) {
+                busy_ = false;
+                if (!IsOk(rows) || owns_) return;
+                OnRow(ValueOf(rows).front(), sent_at);
+              }));
+}
+
+bool OwnershipKeeper::OwnerLooksLost(TimePoint now) const {
+  if (record_.incarnation == gone_incarnation_) return true;
+  return now - heard_at_ >= options_.silence_before_look &&
+         now - unchanged_since_ >= options_.unchanged_before_claim;
+}
+
+void OwnershipKeeper::OnRow(const Row& row, TimePoint sent_at) {
+  const TimePoint now = hooks_.now();
+  if (row.version == 0) {
+    Claim(row, /*released=*/true);
+    return;
+  }
+  const Result<OwnerRecord> decoded = DecodeRecord<OwnerRecord>(row.value);
+  if (!IsOk(decoded)) {
+    hooks_.log("bad_owner_row", ErrorOf(decoded).message);
+    return;
+  }
+  const OwnerRecord& seen = ValueOf(decoded);
+  if (!row_seen_ || row.version != version_) unchanged_since_ = sent_at;
+  const bool new_owner = !row_seen_ || seen.incarnation != record_.incarnation;
+  row_seen_ = true;
+  version_ = row.version;
+  record_ = seen;
+  if (seen.owner == options_.name && seen.incarnation == options_.incarnation &&
+      !seen.released) {
+    // A claim of ours whose answer was lost.
+    Take(seen, row.version, sent_at, /*released=*/false);
+    return;
+  }
+  const bool handed_over = handed_over_epoch_ == seen.epoch;
+  if (seen.released || handed_over) {
+    Claim(row, /*released=*/true);
+    return;
+  }
+  // An earlier run of this process is gone for certain.
+  const bool own_earlier_run = seen.owner == options_.name;
+  if (own_earlier_run || OwnerLooksLost(now)) {
+    Claim(row, /*released=*/false);
+    return;
+  }
+  if (new_owner) hooks_.on_follow(seen);
+}
+
+void OwnershipKeeper::Claim(const Row& row, bool released) {
+  const TimePoint now = hooks_.now();
+  if (now < no_claim_before_) return;
+  busy_ = true;
+  OwnerRecord mine;
+  mine.epoch = (row.version == 0 ? 0 : record_.epoch) + 1;
+  mine.owner = options_.name;
+  mine.incarnation = options_.incarnation;
+  mine.address = options_.address;
+  const bool first = row.version == 0;
+  hooks_.log("claiming", "epoch " + std::to_string(mine.epoch) +
+                             (first ? ", first"
+                                    : ", after " + record_.owner +
+                                          (released ? ", released" : "")));
+  Transaction transaction;
+  transaction.writes.push_back(
+      {options_.row_key, row.version, EncodeRecord(mine)});
+  table_.commit(
+      std::move(transaction),
+      lifetime_.Guard([this, mine, now, released](CommitAnswer answer) {
+        busy_ = false;
+        if (answer.result == CommitResult::kCommitted) {
+          Take(mine, answer.versions.front(), now, released);
+          return;
+        }
+        const Duration pause = std::chrono::duration_cast<Duration>(
+            hooks_.random() * kClaimSpread);
+        look_at_ = hooks_.now() + pause;
+      }));
+}
+
+void OwnershipKeeper::Take(const OwnerRecord& record, uint64_t version,
+                           TimePoint sent_at, bool released) {
+  record_ = record;
+  version_ = version;
+  confirmed_at_ = sent_at;
+  last_commit_ = hooks_.now();
+  owns_ = true;
+  handed_over_epoch_ = 0;
+  hooks_.log("ownership_taken", "epoch " + std::to_string(record.epoch));
+  hooks_.on_taken(record.epoch, released, record.epoch == 1);
+}
+
+void OwnershipKeeper::Lose(const std::string& why) {
+  if (!owns_) return;
+  owns_ = false;
+  row_seen_ = false;
+  look_at_ = hooks_.now();
+  heard_at_ = hooks_.now();
+  hooks_.log("ownership_lost", why);
+  hooks_.on_lost();
+}
+
+void OwnershipKeeper::Commit(std::vector<RowWrite> writes,
+                             std::function<void(bool)> done) {
+  if (!owns_ || committing_ || rechecking_) {
+    done(false);
+    return;
+  }
+  committing_ = true;
+  const TimePoint sent_at = hooks_.now();
+  last_commit_ = sent_at;
+  OwnerRecord next = record_;
+  ++next.sequence;
+  Transaction transaction;
+  transaction.writes = std::move(writes);
+  transaction.writes.push_back(
+      {options_.row_key, version_, EncodeRecord(next)});
+  table_.commit(
+      std::move(transaction),
+      lifetime_.Guard([this, next, sent_at, done](CommitAnswer answer) {
+        committing_ = false;
+        const bool committed = answer.result == CommitResult::kCommitted;
+        if (owns_ && committed) {
+          record_ = next;
+          version_ = answer.versions.back();
+          confirmed_at_ = sent_at;
+        }
+        if (owns_ && answer.result == CommitResult::kConflict) Recheck();
+        done(committed && owns_);
+        ResumeRelease();
+      }));
+}
+
+// A release that waited for the row's version to be known.
+void OwnershipKeeper::ResumeRelease() {
+  if (!release_wanted_ || committing_ || rechecking_) return;
+  const std::function<void()> done = std::exchange(release_wanted_, nullptr);
+  Release(done);
+}
+
+// The row is not as we left it: another has it, or a commit of ours without
+// an answer took effect late.
+void OwnershipKeeper::Recheck() {
+  rechecking_ = true;
+  const TimePoint sent_at = hooks_.now();
+  table_.read({options_.row_key},
+              lifetime_.Guard([this, sent_at](Result<std::vector<Row>> rows) {
+                rechecking_ = false;
+                OnRechecked(rows, sent_at);
+                ResumeRelease();
+              }));
+}
+
+void OwnershipKeeper::OnRechecked(const Result<std::vector<Row>>& rows,
+                                  TimePoint sent_at) {
+  if (!owns_ || !IsOk(rows)) return;
+  const Row& row = ValueOf(rows).front();
+  const Result<OwnerRecord> seen = DecodeRecord<OwnerRecord>(row.value);
+  const bool ours = IsOk(seen) && ValueOf(seen).epoch == record_.epoch &&
+                    ValueOf(seen).incarnation == record_.incarnation;
+  if (!ours) {
+    Lose("the row names another owner");
+    return;
+  }
+  version_ = row.version;
+  record_ = ValueOf(seen);
+  confirmed_at_ = sent_at;
+}
+
+void OwnershipKeeper::Release(std::function<void()> done) {
+  if (!owns_) {
+    done();
+    return;
+  }
+  releasing_ = true;
+  if (committing_ || rechecking_) {
+    release_wanted_ = std::move(done);
+    return;
+  }
+  OwnerRecord last = record_;
+  ++last.sequence;
+  last.released = true;
+  Transaction transaction;
+  transaction.writes.push_back(
+      {options_.row_key, version_, EncodeRecord(last)});
+  no_claim_before_ = TimePoint::max();
+  table_.commit(std::move(transaction),
+                lifetime_.Guard([this, done](CommitAnswer answer) {
+                  hooks_.log("ownership_released",
+                             answer.result == CommitResult::kCommitted
+                                 ? "stored"
+                                 : "not known to be stored");
+                  owns_ = false;
+                  done();
+                }));
+}
+
+void OwnershipKeeper::HandOverTo() {
+  no_claim_before_ = hooks_.now() + options_.hand_over_pause;
+  Lose("handed over: the table does not answer here");
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/executor/executor.h
@@ -0,0 +1,160 @@
+// Carries out the owner's orders on one VM's runner and reports what becomes
+// of them.
+//
+// It decides nothing about what runs. Its own matters are: obey the highest
+// epoch only; extend the runner's lease no further than the owner has granted;
+// find out what became of calls without an answer; keep serving tasks under
+// their targets by pacing the fillers beside them.
+//
+//   Executor executor(options, runner, hooks);
+//   executor.OnRunner(status, clock);           // the runner's registration
+//   executor.OnMessage(link, message);          // from an owner
+//   executor.Tick();                            // every 100 ms
+#ifndef BEAMHILL_EXECUTOR_EXECUTOR_H_
+#define BEAMHILL_EXECUTOR_EXECUTOR_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "beamhill/base/lifetime.h"
+#include "beamhill/base/time.h"
+#include "beamhill/dispatch/dispatch_messages.h"
+#include "beamhill/executor/pacer.h"
+#include "beamhill/executor/task_runner.h"
+
+namespace beamhill {
+
+struct ExecutorOptions {
+  Duration heartbeat_interval = std::chrono::milliseconds(500);
+  // The longest lease that the runner takes.
+  Duration max_lease = std::chrono::seconds(6);
+  // Without an answer for so long the runner counts as out of reach, and no
+  // more leases are asked for.
+  Duration runner_lost_after = std::chrono::milliseconds(1500);
+  // After a runner says that it leaves, its tasks may live on for so long.
+  Duration leave_pause = std::chrono::milliseconds(600);
+};
+
+struct ExecutorHooks {
+  std::function<TimePoint()> now;
+  // To the link that the current owner attached on.
+  std::function<void(uint64_t link, const DispatchMessage& message)> send;
+  std::function<void(const std::string& event, const std::string& task,
+                     const std::string& detail)>
+      log;
+};
+
+struct ExecutorCounts {
+  uint64_t starts = 0;
+  uint64_t refused = 0;
+  uint64_t unanswered = 0;
+  uint64_t looks = 0;
+  uint64_t paces = 0;
+  uint64_t stale_orders = 0;
+};
+
+class Executor {
+ public:
+  Executor(const ExecutorOptions& options, TaskRunner runner,
+           ExecutorHooks hooks);
+
+  // The runner has registered or renewed its registration.
+  void OnRunner(const VmStatus& status, std::optional<RunnerClock> clock);
+  // The runner of that life has said that it ends now.
+  void OnRunnerLeft(const std::string& life);
+
+  void OnMessage(uint64_t link, const DispatchMessage& message);
+  void OnLinkDown(uint64_t link);
+  void Tick();
+
+  uint64_t epoch() const { return epoch_; }
+  bool owned() const { return owner_link_.has_value(); }
+  const ExecutorCounts& counts() const { return counts_; }
+  const VmStatus& status() const { return status_; }
+  std::string Dump() const;
+
+ private:
+  enum class Phase : uint8_t {
+    kStarting,   // The call is open.
+    kUncertain,  // It got no answer; a look will tell.
+    kStopping,   // A stop is open or is to be sent.
+    kStopped,    // The runner took the stop; a look will tell.
+  };
+  struct Order {
+    Phase phase = Phase::kStarting;
+    TimePoint since{};  // When the phase began; a later look decides.
+    bool call_open = false;
+    TimePoint retry_at{};
+  };
+  struct Traits {
+    bool fills = false;
+    Duration tail_target{};
+    int percent = 100;  // As last ordered.
+  };
+
+  void OnAttach(uint64_t link, const Attach& attach);
+  void OnRenew(const RenewLease& renew);
+  void OnStartRuns(const StartRuns& starts);
+  void OnStopRuns(const StopRuns& stops);
+  void OnSettled(const EndsSettled& settled);
+  void OnTraits(const RunTraitsList& list);
+  bool IsCurrent(uint64_t link, uint64_t epoch, const std::string& life);
+
+  void StartOne(const StartRuns& starts, const StartRun& start);
+  void OnStartReply(const RunRef& run, const RunnerReply& reply);
+  void CallStop(const RunRef& run, Order& order);
+  void OnStopReply(const RunRef& run, const RunnerReply& reply);
+  void NotBegun(const RunRef& run, NotBegunReason reason);
+
+  void Look(std::chrono::milliseconds wait);
+  void LookSoon();
+  void OnView(const RunnerView& view, TimePoint sent_at, uint64_t epoch,
+              const std::string& life);
+  void ResolveOrders(const RunnerView& view, TimePoint sent_at);
+  void SendInventory(const RunnerView& view);
+  void ReportEnds(const RunnerView& view);
+  void Pace(const RunnerView& view, TimePoint now);
+  void ResetLife();
+  void NoteClock(const std::optional<RunnerClock>& clock);
+  std::optional<RunnerClock> LeaseEndForRunner() const;
+  std::chrono::milliseconds NextWait() const;
+  void SendToOwner(const DispatchMessage& message);
+
+  ExecutorOptions options_;
+  TaskRunner runner_;
+  ExecutorHooks hooks_;
+
+  uint64_t epoch_ = 0;
+  std::optional<uint64_t> owner_link_;
+  bool inventory_wanted_ = false;
+  TimePoint lease_end_{};
+  TimePoint last_heartbeat_{};
+
+  VmStatus status_;
+  std::optional<TimePoint> leaving_since_;
+  RunnerClock clock_{};  // The runner's reading at `clock_at_`.
+  TimePoint clock_at_{};
+  bool clock_known_ = false;
+  TimePoint last_answer_{};  // Of the runner, to any call.
+
+  std::map<RunRef, Order> orders_;
+  std::map<RunRef, Traits> traits_;
+  Pacer pacer_;
+  uint64_t settled_ = 0;  // Ends that may be forgotten.
+  uint64_t highest_listed_ = 0;
+  uint64_t reported_ = 0;  // Highest end sent on this link.
+  int looks_open_ = 0;
+  bool slow_look_open_ = false;
+  TimePoint next_look_{};
+  ExecutorCounts counts_;
+  Lifetime lifetime_;
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_EXECUTOR_EXECUTOR_H_
--- /dev/null
+++ b/beamhill/executor/executor_process.cc
@@ -0,0 +1,117 @@
+#include "beamhill/executor/executor_process.h"
+
+#include <utility>
+
+#include "beamhill/config/config.h"
+#include "beamhill/log/log.h"
+
+namespace beamhill {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+constexpr Duration kRegisterRetry = std::chrono::milliseconds(400);
+constexpr char kVmRows[] = "vms/";
+
+}  // namespace
+
+Result<std::unique_ptr<ExecutorProcess>> ExecutorProcess::Start(
+    EventLoop& loop, const ExecutorSettings& settings, Table table,
+    TaskRunner runner, Metrics& metrics) {
+  std::unique_ptr<ExecutorProcess> process(
+      new ExecutorProcess(loop, settings, std::move(table)));
+  process->MakeExecutor(std::move(runner), metrics);
+  const Status listening = process->Listen();
+  if (!IsOk(listening)) return ErrorOf(listening);
+  process->Register();
+  return process;
+}
+
+ExecutorProcess::ExecutorProcess(EventLoop& loop,
+                                 const ExecutorSettings& settings, Table table)
+    : loop_(loop), settings_(settings), table_(std::move(table)) {
+  tick_ = loop_.Every(kTickInterval, [this] { executor_->Tick(); });
+}
+
+void ExecutorProcess::MakeExecutor(TaskRunner runner, Metrics& metrics) {
+  ExecutorHooks hooks;
+  hooks.now = [] { return BootClock::now(); };
+  hooks.send = [this](uint64_t link, const DispatchMessage& message) {
+    const auto it = links_.find(link);
+    if (it != links_.end()) it->second->Send(EncodeDispatch(message));
+  };
+  hooks.log = [](const std::string& event, const std::string& task,
+                 const std::string& detail) {
+    Log(LogLevel::kInfo, event, {{"task", task}, {"detail", detail}});
+  };
+  executor_ = std::make_unique<Executor>(settings_.executor, std::move(runner),
+                                         std::move(hooks));
+  const Executor* executor = executor_.get();
+  const auto gauge = [&](const char* name, const char* help,
+                         uint64_t ExecutorCounts::*count) {
+    metrics.AddGauge(name, help, [executor, count] {
+      return static_cast<double>(executor->counts().*count);
+    });
+  };
+  gauge("beamhill_starts_total", "Starts asked of the runner.",
+        &ExecutorCounts::starts);
+  gauge("beamhill_starts_refused_total", "Starts that the runner refused.",
+        &ExecutorCounts::refused);
+  gauge("beamhill_starts_unanswered_total", "Starts without an answer.",
+        &ExecutorCounts::unanswered);
+  gauge("beamhill_looks_total", "Looks at the runner.", &ExecutorCounts::looks);
+  gauge("beamhill_paces_total", "Changes of fillers' pace.",
+        &ExecutorCounts::paces);
+  gauge("beamhill_stale_orders_total",
+        "Orders of an earlier owner, link or runner.",
+        &ExecutorCounts::stale_orders);
+}
+
+Status ExecutorProcess::Listen() {
+  auto listener = LinkListener::Listen(
+      loop_, settings_.links, [this](Link& link) { return OnAccept(link); });
+  if (!IsOk(listener)) return ErrorOf(listener);
+  listener_ = std::move(ValueOf(listener));
+  return Ok{};
+}
+
+// The row never goes by itself; it is written at each start, since the
+// address may be another.
+void ExecutorProcess::Register() {
+  Transaction transaction;
+  transaction.writes.push_back(
+      {kVmRows + settings_.vm, kAnyVersion,
+       EncodeRecord(VmRecord{settings_.vm, ToString(settings_.links)})});
+  table_.commit(
+      std::move(transaction), lifetime_.Guard([this](CommitAnswer answer) {
+        if (answer.result == CommitResult::kCommitted) {
+          Log(LogLevel::kInfo, "vm_registered", {{"vm", settings_.vm}});
+          return;
+        }
+        register_again_ = loop_.After(kRegisterRetry, [this] { Register(); });
+      }));
+}
+
+LinkHooks ExecutorProcess::OnAccept(Link& link) {
+  const uint64_t id = next_link_++;
+  links_[id] = &link;
+  LinkHooks hooks;
+  hooks.on_message = [this, id](Link& l, std::string_view frame) {
+    const Result<DispatchMessage> message = DecodeDispatch(frame);
+    if (!IsOk(message)) {
+      Log(LogLevel::kWarning, "bad_message",
+          {{"error", ErrorOf(message).message}});
+      l.Close();
+      return;
+    }
+    executor_->OnMessage(id, ValueOf(message));
+  };
+  hooks.on_close = [this, id](Link&) {
+    links_.erase(id);
+    executor_->OnLinkDown(id);
+  };
+  return hooks;
+}
+
+std::string ExecutorProcess::Dump() const { return executor_->Dump(); }
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/executor/executor_process.h
@@ -0,0 +1,60 @@
+// The executor as a process: links from owners, its own row in the table, and
+// the Executor between them and the runner.
+//
+//   auto process = ExecutorProcess::Start(loop, settings, table, runner);
+//   process->OnRunner(status, clock);       // from the adaptor
+#ifndef BEAMHILL_EXECUTOR_EXECUTOR_PROCESS_H_
+#define BEAMHILL_EXECUTOR_EXECUTOR_PROCESS_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "beamhill/base/error.h"
+#include "beamhill/base/lifetime.h"
+#include "beamhill/event/event_loop.h"
+#include "beamhill/executor/executor.h"
+#include "beamhill/link/link.h"
+#include "beamhill/metrics/metrics.h"
+#include "beamhill/table/table.h"
+
+namespace beamhill {
+
+struct ExecutorSettings {
+  std::string vm;
+  Address links;  // Where owners dial.
+  ExecutorOptions executor;
+};
+
+class ExecutorProcess {
+ public:
+  static Result<std::unique_ptr<ExecutorProcess>> Start(
+      EventLoop& loop, const ExecutorSettings& settings, Table table,
+      TaskRunner runner, Metrics& metrics);
+
+  Executor& executor() { return *executor_; }
+  std::string Dump() const;
+
+ private:
+  ExecutorProcess(EventLoop& loop, const ExecutorSettings& settings,
+                  Table table);
+  Status Listen();
+  void MakeExecutor(TaskRunner runner, Metrics& metrics);
+  void Register();
+  LinkHooks OnAccept(Link& link);
+
+  EventLoop& loop_;
+  ExecutorSettings settings_;
+  Table table_;
+  std::unique_ptr<Executor> executor_;
+  std::unique_ptr<LinkListener> listener_;
+  std::map<uint64_t, Link*> links_;
+  uint64_t next_link_ = 1;
+  Timer tick_;
+  Timer register_again_;
+  Lifetime lifetime_;
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_EXECUTOR_EXECUTOR_PROCESS_H_
--- a/beamhill/http/http_server.cc
+++ b/beamhill/http/http_server.cc
@@ -121,6 +121,10 @@
                  "one reply for each request");
   http_internal::AddHeaders(evhttp_request_get_output_headers(state_->raw),
                             response.headers);
+  if (response.close) {
+    evhttp_add_header(evhttp_request_get_output_headers(state_->raw),
+                      "Connection", "close");
+  }
   state_->Complete(response.status, response.body);
 }
 
--- a/beamhill/http/http_types.h
+++ b/beamhill/http/http_types.h
@@ -28,6 +28,7 @@
   int status = 0;
   HttpHeaders headers;
   std::string body;
+  bool close = false;  // A server closes the connection after this answer.
 };
 
 // The first header of that name, compared without regard to case.
--- a/beamhill/log/log.h
+++ b/beamhill/log/log.h
@@ -38,6 +38,19 @@
 };
 
 void InitLog(std::string_view process, LogLevel level);
+
+// Where lines go and how many. Lines beyond the budget, and lines that the
+// reader of the pipe has left no room for, are dropped and counted; a later
+// line tells how many.
+struct LogOutput {
+  int fd = 2;
+  uint32_t lines_per_second = 400;
+  uint32_t burst = 1200;
+};
+// Never blocks: the descriptor is made non-blocking.
+void InitLog(std::string_view process, LogLevel level, const LogOutput& output);
+// Lines dropped since the start.
+uint64_t LogLinesDropped();
 // May be called at any time.
 void SetLogLevel(LogLevel level);
 Result<LogLevel> ParseLogLevel(std::string_view name);
--- /dev/null
+++ b/beamhill/messages/internal/cbor_fields.h
@@ -0,0 +1,142 @@
+// CBOR form of plain structures: each is an array of its fields in a fixed
+// order, which a `FieldList` names once for both directions.
+//
+//   struct MyFields {
+//     template <typename T> static auto Of(T& v) { return std::tie(v.a); }
+//   };
+//   Json json = CborFields<MyFields>::To(value);
+#ifndef BEAMHILL_MESSAGES_INTERNAL_CBOR_FIELDS_H_
+#define BEAMHILL_MESSAGES_INTERNAL_CBOR_FIELDS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+#include "beamhill/base/time.h"
+
+namespace beamhill::messages_internal {
+
+using Json = nlohmann::json;
+
+template <typename T>
+struct IsVector : std::false_type {};
+template <typename T>
+struct IsVector<std::vector<T>> : std::true_type {};
+
+template <typename T>
+struct IsDuration : std::false_type {};
+template <typename Rep, typename Period>
+struct IsDuration<std::chrono::duration<Rep, Period>> : std::true_type {};
+
+template <typename T>
+constexpr bool kIsPair = std::is_same_v<T, std::pair<std::string, std::string>>;
+
+// The library throws on an impossible container size even when told not to
+// throw; a discarded value stands for every kind of bad bytes here.
+inline Json ParseCbor(std::string_view bytes) {
+  try {
+    return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+  } catch (const Json::exception&) {
+    return Json(Json::value_t::discarded);
+  }
+}
+
+template <typename FieldList>
+struct CborFields {
+  // Text is sent as CBOR bytes, since callers' bodies need not be UTF-8.
+  static Json To(const std::string& v) {
+    return Json::binary(std::vector<uint8_t>(v.begin(), v.end()));
+  }
+
+  template <typename T>
+  static Json To(const T& v) {
+    if constexpr (std::is_arithmetic_v<T>) {
+      return v;
+    } else if constexpr (std::is_enum_v<T>) {
+      return static_cast<std::underlying_type_t<T>>(v);
+    } else if constexpr (IsDuration<T>::value) {
+      return v.count();
+    } else if constexpr (std::is_same_v<T, TimePoint>) {
+      return v.time_since_epoch().count();
+    } else if constexpr (kIsPair<T>) {
+      return Json::array({To(v.first), To(v.second)});
+    } else if constexpr (IsVector<T>::value) {
+      Json array = Json::array();
+      for (const auto& item : v) array.push_back(To(item));
+      return array;
+    } else {
+      Json array = Json::array();
+      std::apply(
+          [&array](const auto&... field) { (array.push_back(To(field)), ...); },
+          FieldList::Of(v));
+      return array;
+    }
+  }
+
+  static bool From(const Json& json, std::string* v) {
+    if (!json.is_binary()) return false;
+    const Json::binary_t& bytes = json.get_binary();
+    v->assign(bytes.begin(), bytes.end());
+    return true;
+  }
+
+  // Sized containers are read element by element, so a count that the bytes
+  // do not back can't make the reader reserve memory.
+  template <typename T>
+  static bool From(const Json& json, T* v) {
+    if constexpr (std::is_same_v<T, bool>) {
+      if (!json.is_boolean()) return false;
+      *v = json.get<bool>();
+      return true;
+    } else if constexpr (std::is_integral_v<T>) {
+      if (!json.is_number_integer()) return false;
+      *v = json.get<T>();
+      return true;
+    } else if constexpr (std::is_floating_point_v<T>) {
+      if (!json.is_number()) return false;
+      *v = json.get<T>();
+      return true;
+    } else if constexpr (std::is_enum_v<T>) {
+      if (!json.is_number_integer()) return false;
+      *v = static_cast<T>(json.get<std::underlying_type_t<T>>());
+      return true;
+    } else if constexpr (IsDuration<T>::value) {
+      if (!json.is_number_integer()) return false;
+      *v = T(json.get<typename T::rep>());
+      return true;
+    } else if constexpr (std::is_same_v<T, TimePoint>) {
+      if (!json.is_number_integer()) return false;
+      *v = TimePoint(Duration(json.get<Duration::rep>()));
+      return true;
+    } else if constexpr (kIsPair<T>) {
+      return json.is_array() && json.size() == 2 && From(json[0], &v->first) &&
+             From(json[1], &v->second);
+    } else if constexpr (IsVector<T>::value) {
+      if (!json.is_array()) return false;
+      for (const Json& item : json) {
+        typename T::value_type element;
+        if (!From(item, &element)) return false;
+        v->push_back(std::move(element));
+      }
+      return true;
+    } else {
+      auto fields = FieldList::Of(*v);
+      constexpr size_t kCount = std::tuple_size_v<decltype(fields)>;
+      if (!json.is_array() || json.size() != kCount) return false;
+      size_t i = 0;
+      return std::apply(
+          [&](auto&... field) { return (From(json[i++], &field) && ...); },
+          fields);
+    }
+  }
+};
+
+}  // namespace beamhill::messages_internal
+
+#endif  // BEAMHILL_MESSAGES_INTERNAL_CBOR_FIELDS_H_
--- /dev/null
+++ b/beamhill/scheduler/dialed_peer.cc
@@ -0,0 +1,78 @@
+#include "beamhill/scheduler/dialed_peer.h"
+
+#include <algorithm>
+
+#include "beamhill/log/log.h"
+
+namespace beamhill {
+namespace {
+
+constexpr Duration kFirstPause = std::chrono::milliseconds(100);
+constexpr Duration kLongestPause = std::chrono::milliseconds(1000);
+// A handshake takes a few round trips; a peer that is cut off takes forever.
+constexpr Duration kOpenTimeout = std::chrono::milliseconds(1200);
+
+}  // namespace
+
+DialedPeer::DialedPeer(EventLoop& loop, const Address& address,
+                       DialedPeerHooks hooks)
+    : loop_(loop), address_(address), hooks_(std::move(hooks)) {
+  Dial();
+}
+
+DialedPeer::~DialedPeer() = default;
+
+bool DialedPeer::is_open() const { return link_ && link_->is_open(); }
+
+void DialedPeer::Dial() {
+  opened_ = false;
+  dialed_at_ = BootClock::now();
+  heard_at_ = dialed_at_;
+  LinkHooks hooks;
+  hooks.on_open = [this](Link&) {
+    opened_ = true;
+    pause_ = Duration(0);
+    heard_at_ = BootClock::now();
+    hooks_.on_open();
+  };
+  hooks.on_message = [this](Link&, std::string_view frame) { OnFrame(frame); };
+  hooks.on_close = [this](Link&) { OnClose(); };
+  link_ = Link::Dial(loop_, address_, std::move(hooks));
+}
+
+void DialedPeer::OnFrame(std::string_view frame) {
+  heard_at_ = BootClock::now();
+  const Result<DispatchMessage> message = DecodeDispatch(frame);
+  if (!IsOk(message)) {
+    Log(LogLevel::kWarning, "bad_message",
+        {{"peer_ip", address_.ip}, {"error", ErrorOf(message).message}});
+    link_->Close();
+    return;
+  }
+  hooks_.on_message(ValueOf(message));
+}
+
+void DialedPeer::OnClose() {
+  const bool was_open = opened_;
+  opened_ = false;
+  pause_ = std::clamp(pause_ * 2, kFirstPause, kLongestPause);
+  redial_ = loop_.After(pause_, [this] { Dial(); });
+  hooks_.on_down(was_open);
+}
+
+void DialedPeer::Send(const DispatchMessage& message) {
+  if (!is_open()) return;
+  const std::string frame = EncodeDispatch(message);
+  bytes_sent_ += frame.size();
+  link_->Send(frame);
+}
+
+void DialedPeer::CloseIfSilent(Duration limit) {
+  if (!link_) return;
+  const TimePoint now = BootClock::now();
+  const bool stuck = !opened_ && now - dialed_at_ > kOpenTimeout;
+  const bool silent = opened_ && now - heard_at_ > limit;
+  if (stuck || silent) link_->Close();
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/scheduler/dialed_peer.h
@@ -0,0 +1,60 @@
+// A link that is dialed again for as long as its owner wants it, to a peer
+// that may be down, silent or replaced.
+//
+//   DialedPeer peer(loop, address, {on_open, on_message, on_down});
+//   peer.Send(message);       // dropped while the link is down
+#ifndef BEAMHILL_SCHEDULER_DIALED_PEER_H_
+#define BEAMHILL_SCHEDULER_DIALED_PEER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "beamhill/base/time.h"
+#include "beamhill/dispatch/dispatch_messages.h"
+#include "beamhill/event/event_loop.h"
+#include "beamhill/link/link.h"
+
+namespace beamhill {
+
+struct DialedPeerHooks {
+  std::function<void()> on_open;
+  std::function<void(const DispatchMessage&)> on_message;
+  // The link broke, or could not be made.
+  std::function<void(bool was_open)> on_down;
+};
+
+class DialedPeer {
+ public:
+  DialedPeer(EventLoop& loop, const Address& address, DialedPeerHooks hooks);
+  ~DialedPeer();
+  DialedPeer(const DialedPeer&) = delete;
+  DialedPeer& operator=(const DialedPeer&) = delete;
+
+  void Send(const DispatchMessage& message);
+  // Breaks the link if nothing came for so long; it is dialed anew.
+  void CloseIfSilent(Duration limit);
+  bool is_open() const;
+  const Address& address() const { return address_; }
+  uint64_t bytes_sent() const { return bytes_sent_; }
+
+ private:
+  void Dial();
+  void OnFrame(std::string_view frame);
+  void OnClose();
+
+  EventLoop& loop_;
+  Address address_;
+  DialedPeerHooks hooks_;
+  std::unique_ptr<Link> link_;
+  bool opened_ = false;
+  Duration pause_{};
+  TimePoint dialed_at_{};
+  TimePoint heard_at_{};
+  uint64_t bytes_sent_ = 0;
+  Timer redial_;
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_SCHEDULER_DIALED_PEER_H_
--- /dev/null
+++ b/beamhill/scheduler/job_desk.h
@@ -0,0 +1,75 @@
+// Takes in workflows and cancellations and answers for their state, from the
+// table: any scheduler process can do this, whoever owns the work.
+//
+// A workflow is stored before it is accepted. A marker beside it tells the
+// owner of it should the direct notice be lost.
+//
+//   JobDesk desk(table);
+//   desk.Submit(workflow, [](SubmitResult result) { ... });
+#ifndef BEAMHILL_SCHEDULER_JOB_DESK_H_
+#define BEAMHILL_SCHEDULER_JOB_DESK_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "beamhill/base/lifetime.h"
+#include "beamhill/dispatch/dispatch_messages.h"
+#include "beamhill/table/table.h"
+#include "beamhill/workflow/workflow.h"
+
+namespace beamhill {
+
+enum class SubmitResult : uint8_t {
+  kAccepted,       // Stored by this call.
+  kAlreadyStored,  // An earlier call has stored it.
+  kRefused,        // Not stored, and never will be by this call.
+  kUnknown,        // It may have been stored.
+};
+
+enum class CancelResult : uint8_t { kCancelled, kNoSuchJob, kUnknown };
+
+struct StateResult {
+  // False when neither the owner nor the table could be asked.
+  bool answered = false;
+  // Empty: there is no such workflow.
+  std::optional<WorkflowState> state;
+};
+
+// The tables' keys.
+namespace rows {
+inline constexpr char kWorkflows[] = "workflows/";
+inline constexpr char kProgress[] = "progress/";
+inline constexpr char kCancels[] = "cancels/";
+inline constexpr char kVms[] = "vms/";
+// What the owner may not have heard of yet: "n-" new, "c-" cancelled.
+inline constexpr char kArrivals[] = "arrivals/";
+std::string NewMarker(const std::string& workflow);
+std::string CancelMarker(const std::string& workflow);
+}  // namespace rows
+
+class JobDesk {
+ public:
+  explicit JobDesk(Table table) : table_(std::move(table)) {}
+
+  void Submit(const Workflow& workflow, std::function<void(SubmitResult)> done);
+  void Cancel(const std::string& workflow,
+              std::function<void(CancelResult)> done);
+  // As far as it is stored.
+  void StoredState(const std::string& workflow,
+                   std::function<void(StateResult)> done);
+  // The workflow and its record, for an owner that has found its marker.
+  void Load(const std::string& workflow,
+            std::function<void(std::optional<Workflow>,
+                               std::optional<ProgressRecord>)>
+                done);
+
+ private:
+  Table table_;
+  Lifetime lifetime_;
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_SCHEDULER_JOB_DESK_H_
--- /dev/null
+++ b/beamhill/scheduler/scheduler.cc
@@ -0,0 +1,385 @@
+#include "beamhill/scheduler/scheduler.h"
+
+#include <utility>
+
+#include "beamhill/base/random.h"
+#include "beamhill/config/config.h"
+#include "beamhill/log/log.h"
+
+namespace beamhill {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(300);
+constexpr Duration kQuestionTimeout = std::chrono::milliseconds(400);
+// An owner's link that is silent for so long is dialed anew.
+constexpr Duration kOwnerSilence = std::chrono::milliseconds(2500);
+// An owner that the table has not answered for so long hands over to a peer
+// that is still served.
+constexpr Duration kCutOffAfter = std::chrono::milliseconds(2600);
+// A notice that no owner has confirmed for so long is left to the markers in
+// the table. Far below the time that finished workflows are kept, so that a
+// late notice can't bring one back.
+constexpr Duration kNoticeLife = std::chrono::seconds(30);
+// Added to inherited bounds for messages on their way.
+constexpr Duration kBoundMargin = std::chrono::milliseconds(500);
+
+}  // namespace
+
+Result<std::unique_ptr<Scheduler>> Scheduler::Start(
+    EventLoop& loop, const SchedulerSettings& settings, Table table,
+    SchedulerHooks hooks, Metrics& metrics) {
+  std::unique_ptr<Scheduler> scheduler(new Scheduler(
+      loop, settings, std::move(table), std::move(hooks), metrics));
+  const Status listening = scheduler->Listen();
+  if (!IsOk(listening)) return ErrorOf(listening);
+  return scheduler;
+}
+
+Scheduler::Scheduler(EventLoop& loop, const SchedulerSettings& settings,
+                     Table table, SchedulerHooks hooks, Metrics& metrics)
+    : loop_(loop),
+      settings_(settings),
+      table_(table),
+      hooks_(std::move(hooks)),
+      random_(RandomSeed()),
+      incarnation_(random_() >> 1),
+      desk_(table) {
+  owner_metrics_.commit = &metrics.AddLatency(
+      "beamhill_commit_latency", "From sending a transaction to its answer.");
+  owner_metrics_.starts =
+      &metrics.AddCounter("beamhill_starts_total", "Tasks ordered to start.");
+  metrics.AddGauge("beamhill_owner", "1 while this process owns the work.",
+                   [this] { return owns() ? 1.0 : 0.0; });
+  metrics.AddGauge(
+      "beamhill_workflows", "Workflows that the owner knows.", [this] {
+        return owner_ && owner_->loaded()
+                   ? static_cast<double>(owner_->dispatcher()->workflows())
+                   : 0.0;
+      });
+  MakeKeeper();
+  tick_ = loop_.Every(kTickInterval, [this] { Tick(); });
+}
+
+Scheduler::~Scheduler() = default;
+
+Status Scheduler::Listen() {
+  auto listener = LinkListener::Listen(
+      loop_, settings_.peers, [this](Link& link) { return OnAccept(link); });
+  if (!IsOk(listener)) return ErrorOf(listener);
+  listener_ = std::move(ValueOf(listener));
+  return Ok{};
+}
+
+void Scheduler::MakeKeeper() {
+  OwnershipKeeperOptions options;
+  options.name = settings_.name;
+  options.incarnation = incarnation_;
+  options.address = ToString(settings_.peers);
+  options.authority_term = settings_.authority_term;
+  OwnershipKeeperHooks hooks;
+  hooks.now = [] { return BootClock::now(); };
+  hooks.random = [this] {
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+  };
+  hooks.on_follow = [this](const OwnerRecord& owner) { Follow(owner); };
+  hooks.on_taken = [this](uint64_t epoch, bool released, bool first) {
+    OnTaken(epoch, released, first);
+  };
+  hooks.on_lost = [this] { retired_owner_ = std::move(owner_); };
+  hooks.log = [](const std::string& event, const std::string& detail) {
+    Log(LogLevel::kInfo, event, {{"detail", detail}});
+  };
+  keeper_ =
+      std::make_unique<OwnershipKeeper>(options, table_, std::move(hooks));
+}
+
+void Scheduler::OnTaken(uint64_t epoch, bool released, bool first) {
+  if (owner_peer_) retired_peers_.push_back(std::move(owner_peer_));
+  WorkOwnerOptions options;
+  options.epoch = epoch;
+  options.lease_term = settings_.lease_term;
+  options.first = first;
+  options.inherited_bound = settings_.lease_term + kBoundMargin;
+  if (!released) options.inherited_bound += settings_.authority_term;
+  owner_ = std::make_unique<WorkOwner>(loop_, table_, *keeper_, options,
+                                       owner_metrics_);
+  // Stored workflows are found by loading.
+  notices_.clear();
+}
+
+void Scheduler::Follow(const OwnerRecord& owner) {
+  const Result<Address> address = ParseAddress(owner.address);
+  if (!IsOk(address)) return;
+  followed_ = owner;
+  Log(LogLevel::kInfo, "following",
+      {{"owner", owner.owner}, {"epoch", owner.epoch}});
+  if (owner_peer_) retired_peers_.push_back(std::move(owner_peer_));
+  DialedPeerHooks hooks;
+  hooks.on_open = [this] {
+    owner_peer_->Send(Heartbeat());
+    SendNotices();
+  };
+  hooks.on_message = [this](const DispatchMessage& message) {
+    OnOwnerMessage(message);
+  };
+  hooks.on_down = [this](bool was_open) {
+    if (!was_open) return;
+    Log(LogLevel::kWarning, "owner_unlinked", {{"owner", followed_.owner}});
+  };
+  owner_peer_ =
+      std::make_unique<DialedPeer>(loop_, ValueOf(address), std::move(hooks));
+}
+
+SchedulerHeartbeat Scheduler::Heartbeat() const {
+  SchedulerHeartbeat beat;
+  beat.name = settings_.name;
+  beat.incarnation = incarnation_;
+  beat.epoch = keeper_->owns() ? keeper_->epoch() : 0;
+  beat.store_answers = hooks_.store_answers();
+  beat.settings_version = hooks_.settings_version();
+  return beat;
+}
+
+void Scheduler::ShareSettings(
+    uint64_t peers_version,
+    const std::function<void(const DispatchMessage&)>& send) {
+  if (peers_version >= hooks_.settings_version()) return;
+  send(ServiceSettingsCopy{hooks_.settings_version(),
+                           hooks_.settings_document()});
+}
+
+void Scheduler::OnOwnerMessage(const DispatchMessage& message) {
+  if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
+    if (beat->epoch >= followed_.epoch) keeper_->OnOwnerHeard(beat->epoch);
+    if (beat->incarnation != followed_.incarnation) {
+      keeper_->OnOwnerGone(followed_.incarnation);
+    }
+    ShareSettings(beat->settings_version,
+                  [this](const DispatchMessage& m) { owner_peer_->Send(m); });
+  } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
+    hooks_.on_settings_copy(copy->version, copy->document);
+  } else if (const auto* taken = std::get_if<NoticeTaken>(&message)) {
+    notices_.erase(taken->workflow);
+  } else if (const auto* over = std::get_if<HandOver>(&message)) {
+    keeper_->OnHandOver(over->epoch);
+  } else if (const auto* answer = std::get_if<Answer>(&message)) {
+    const auto it = questions_.find(answer->id);
+    if (it == questions_.end()) return;
+    const auto done = std::move(it->second.done);
+    questions_.erase(it);
+    done(*answer);
+  }
+}
+
+LinkHooks Scheduler::OnAccept(Link& link) {
+  peers_[&link].link = &link;
+  LinkHooks hooks;
+  hooks.on_message = [this](Link& l, std::string_view frame) {
+    OnPeerFrame(l, frame);
+  };
+  hooks.on_close = [this](Link& l) { peers_.erase(&l); };
+  return hooks;
+}
+
+void Scheduler::OnPeerFrame(Link& link, std::string_view frame) {
+  const Result<DispatchMessage> message = DecodeDispatch(frame);
+  if (!IsOk(message)) {
+    Log(LogLevel::kWarning, "bad_message",
+        {{"error", ErrorOf(message).message}});
+    link.Close();
+    return;
+  }
+  OnPeerMessage(peers_.at(&link), ValueOf(message));
+}
+
+void Scheduler::OnPeerMessage(Peer& peer, const DispatchMessage& message) {
+  const auto send = [&peer](const DispatchMessage& m) {
+    peer.link->Send(EncodeDispatch(m));
+  };
+  if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
+    peer.last = *beat;
+    send(Heartbeat());
+    ShareSettings(beat->settings_version, send);
+  } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
+    hooks_.on_settings_copy(copy->version, copy->document);
+  } else if (const auto* stored = std::get_if<WorkflowStored>(&message)) {
+    if (!owner_ || !owner_->loaded()) return;  // Repeated until confirmed.
+    owner_->OnWorkflowStored(stored->workflow);
+    send(NoticeTaken{stored->workflow.id});
+  } else if (const auto* cancel = std::get_if<CancelStored>(&message)) {
+    if (!owner_ || !owner_->loaded()) return;
+    owner_->OnCancelStored(cancel->workflow);
+    send(NoticeTaken{"cancel " + cancel->workflow});
+  } else if (const auto* question = std::get_if<Question>(&message)) {
+    AnswerQuestion(*peer.link, *question);
+  }
+}
+
+void Scheduler::AnswerQuestion(Link& link, const Question& question) {
+  Answer answer;
+  answer.id = question.id;
+  if (owner_ && keeper_->MayAct()) {
+    if (question.workflow.empty()) {
+      const auto waiting = owner_->WaitingIn(question.queue);
+      answer.known = waiting.has_value();
+      answer.waiting = waiting.value_or(0);
+    } else if (const auto state = owner_->StateOf(question.workflow); state) {
+      answer.known = true;
+      answer.state = *state;
+    }
+  }
+  link.Send(EncodeDispatch(answer));
+}
+
+void Scheduler::Ask(Question question,
+                    std::function<void(std::optional<Answer>)> done) {
+  if (!owner_peer_ || !owner_peer_->is_open()) {
+    done(std::nullopt);
+    return;
+  }
+  question.id = next_question_++;
+  const uint64_t id = question.id;
+  OpenQuestion& open = questions_[id];
+  open.done = std::move(done);
+  open.timeout = loop_.After(kQuestionTimeout, [this, id] {
+    const auto it = questions_.find(id);
+    const auto unanswered = std::move(it->second.done);
+    questions_.erase(it);
+    unanswered(std::nullopt);
+  });
+  owner_peer_->Send(question);
+}
+
+void Scheduler::Notify(const DispatchMessage& message, const std::string& key) {
+  notices_[key] = {message, BootClock::now()};
+  if (owner_peer_) owner_peer_->Send(message);
+}
+
+void Scheduler::SendNotices() {
+  for (const auto& [key, notice] : notices_) owner_peer_->Send(notice.message);
+}
+
+void Scheduler::Submit(Workflow workflow,
+                       std::function<void(SubmitResult)> done) {
+  workflow.offered_to = keeper_->epoch();
+  desk_.Submit(workflow, [this, workflow, done](SubmitResult result) {
+    if (result == SubmitResult::kAccepted) TellOwner(workflow);
+    done(result);
+  });
+}
+
+void Scheduler::TellOwner(const Workflow& workflow) {
+  if (owner_) {
+    owner_->OnWorkflowStored(workflow);
+  } else {
+    Notify(WorkflowStored{workflow}, workflow.id);
+  }
+}
+
+void Scheduler::Cancel(const std::string& workflow,
+                       std::function<void(CancelResult)> done) {
+  desk_.Cancel(workflow, [this, workflow, done](CancelResult result) {
+    if (result == CancelResult::kCancelled) {
+      if (owner_) {
+        owner_->OnCancelStored(workflow);
+      } else {
+        Notify(CancelStored{workflow}, "cancel " + workflow);
+      }
+    }
+    done(result);
+  });
+}
+
+void Scheduler::StateOf(const std::string& workflow,
+                        std::function<void(StateResult)> done) {
+  if (owner_ && keeper_->MayAct()) {
+    if (const auto state = owner_->StateOf(workflow); state) {
+      done({true, state});
+      return;
+    }
+  }
+  Question question;
+  question.workflow = workflow;
+  Ask(question, [this, workflow, done](std::optional<Answer> answer) {
+    if (answer && answer->known) {
+      done({true, answer->state});
+      return;
+    }
+    desk_.StoredState(workflow, done);
+  });
+}
+
+void Scheduler::WaitingIn(const std::string& queue,
+                          std::function<void(std::optional<uint64_t>)> done) {
+  if (owner_ && owner_->loaded()) {
+    done(owner_->WaitingIn(queue));
+    return;
+  }
+  Question question;
+  question.queue = queue;
+  Ask(question, [done](std::optional<Answer> answer) {
+    if (answer && answer->known) {
+      done(answer->waiting);
+    } else {
+      done(std::nullopt);
+    }
+  });
+}
+
+void Scheduler::HandOverIfCutOff() {
+  if (!keeper_->owns() || keeper_->SinceConfirmed() < kCutOffAfter) return;
+  for (auto& [link, peer] : peers_) {
+    if (!peer.last.store_answers) continue;
+    const uint64_t epoch = keeper_->epoch();
+    Log(LogLevel::kWarning, "handing_over",
+        {{"to", peer.last.name}, {"epoch", epoch}});
+    keeper_->HandOverTo();
+    link->Send(EncodeDispatch(HandOver{epoch}));
+    return;
+  }
+}
+
+void Scheduler::Tick() {
+  retired_peers_.clear();
+  retired_owner_.reset();
+  keeper_->Tick();
+  HandOverIfCutOff();
+  const TimePoint now = BootClock::now();
+  for (auto it = notices_.begin(); it != notices_.end();) {
+    const bool old = now - it->second.since > kNoticeLife;
+    it = old ? notices_.erase(it) : std::next(it);
+  }
+  if (!owner_peer_) return;
+  owner_peer_->CloseIfSilent(kOwnerSilence);
+  if (now - last_heartbeat_ < kHeartbeatInterval) return;
+  last_heartbeat_ = now;
+  owner_peer_->Send(Heartbeat());
+}
+
+void Scheduler::Leave(std::function<void()> done) {
+  leaving_ = true;
+  if (!owner_) {
+    keeper_->Release(std::move(done));
+    return;
+  }
+  owner_->Quiesce([this, done] {
+    keeper_->Release([this, done] {
+      retired_owner_ = std::move(owner_);
+      done();
+    });
+  });
+}
+
+std::string Scheduler::Dump() const {
+  const OwnerRecord& record = keeper_->record();
+  std::string text = "scheduler " + settings_.name + " owns " +
+                     std::to_string(keeper_->owns()) + " epoch " +
+                     std::to_string(record.epoch) + " owner " + record.owner +
+                     " peers " + std::to_string(peers_.size()) + " notices " +
+                     std::to_string(notices_.size()) + "\n";
+  if (owner_) text += owner_->Dump();
+  return text;
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/scheduler/scheduler.h
@@ -0,0 +1,137 @@
+// One scheduler process: takes in workflows for anyone who calls it, and when
+// it owns the deployment's work, runs it.
+//
+// It knows nothing of the wire that callers use: an adaptor decodes requests
+// and calls Submit, Cancel, StateOf and WaitingIn.
+//
+//   auto scheduler = Scheduler::Start(loop, settings, table, metrics);
+//   scheduler->OnQueues(table);            // each new version of the settings
+//   scheduler->Submit(workflow, done);
+#ifndef BEAMHILL_SCHEDULER_SCHEDULER_H_
+#define BEAMHILL_SCHEDULER_SCHEDULER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+
+#include "beamhill/base/error.h"
+#include "beamhill/dispatch/ownership_keeper.h"
+#include "beamhill/event/event_loop.h"
+#include "beamhill/link/link.h"
+#include "beamhill/metrics/metrics.h"
+#include "beamhill/scheduler/dialed_peer.h"
+#include "beamhill/scheduler/job_desk.h"
+#include "beamhill/scheduler/work_owner.h"
+#include "beamhill/table/table.h"
+
+namespace beamhill {
+
+struct SchedulerSettings {
+  std::string name;
+  Address peers;  // Where other schedulers dial this one.
+  Duration lease_term = std::chrono::seconds(5);
+  Duration authority_term = std::chrono::seconds(8);
+};
+
+struct SchedulerHooks {
+  // Whether the table answered lately.
+  std::function<bool()> store_answers;
+  // The newest service settings: version and document, and a peer's copy.
+  std::function<uint64_t()> settings_version;
+  std::function<std::string()> settings_document;
+  std::function<void(uint64_t version, const std::string& document)>
+      on_settings_copy;
+};
+
+class Scheduler {
+ public:
+  static Result<std::unique_ptr<Scheduler>> Start(
+      EventLoop& loop, const SchedulerSettings& settings, Table table,
+      SchedulerHooks hooks, Metrics& metrics);
+  ~Scheduler();
+  Scheduler(const Scheduler&) = delete;
+  Scheduler& operator=(const Scheduler&) = delete;
+
+  void Submit(Workflow workflow, std::function<void(SubmitResult)> done);
+  void Cancel(const std::string& workflow,
+              std::function<void(CancelResult)> done);
+  void StateOf(const std::string& workflow,
+               std::function<void(StateResult)> done);
+  // Empty when the owner can't be asked.
+  void WaitingIn(const std::string& queue,
+                 std::function<void(std::optional<uint64_t>)> done);
+
+  // Gives up what it owns; `done` runs when peers can take over.
+  void Leave(std::function<void()> done);
+
+  bool owns() const { return keeper_->owns(); }
+  std::string Dump() const;
+
+ private:
+  struct Peer {
+    Link* link = nullptr;
+    SchedulerHeartbeat last;
+  };
+  struct OpenQuestion {
+    std::function<void(std::optional<Answer>)> done;
+    Timer timeout;
+  };
+
+  Scheduler(EventLoop& loop, const SchedulerSettings& settings, Table table,
+            SchedulerHooks hooks, Metrics& metrics);
+  Status Listen();
+  void MakeKeeper();
+  void OnTaken(uint64_t epoch, bool released, bool first);
+  void Follow(const OwnerRecord& owner);
+  void OnOwnerMessage(const DispatchMessage& message);
+  LinkHooks OnAccept(Link& link);
+  void OnPeerFrame(Link& link, std::string_view frame);
+  void OnPeerMessage(Peer& peer, const DispatchMessage& message);
+  void AnswerQuestion(Link& link, const Question& question);
+  void Ask(Question question, std::function<void(std::optional<Answer>)> done);
+  void TellOwner(const Workflow& workflow);
+  void Notify(const DispatchMessage& message, const std::string& key);
+  void SendNotices();
+  SchedulerHeartbeat Heartbeat() const;
+  void ShareSettings(uint64_t peers_version,
+                     const std::function<void(const DispatchMessage&)>& send);
+  void Tick();
+  void HandOverIfCutOff();
+
+  EventLoop& loop_;
+  SchedulerSettings settings_;
+  Table table_;
+  SchedulerHooks hooks_;
+  std::mt19937_64 random_;
+  uint64_t incarnation_;
+  JobDesk desk_;
+  WorkOwnerMetrics owner_metrics_;
+  std::unique_ptr<OwnershipKeeper> keeper_;
+  std::unique_ptr<WorkOwner> owner_;
+  std::unique_ptr<LinkListener> listener_;
+  std::map<Link*, Peer> peers_;
+  std::unique_ptr<DialedPeer> owner_peer_;
+  OwnerRecord followed_;
+  // Notices that no owner has confirmed yet, by a key for each.
+  struct Notice {
+    DispatchMessage message;
+    TimePoint since{};
+  };
+  std::map<std::string, Notice> notices_;
+  std::map<uint64_t, OpenQuestion> questions_;
+  uint64_t next_question_ = 1;
+  TimePoint last_heartbeat_{};
+  bool leaving_ = false;
+  Timer tick_;
+  Timer reap_;
+  std::vector<std::unique_ptr<DialedPeer>> retired_peers_;
+  std::unique_ptr<WorkOwner> retired_owner_;
+  Lifetime lifetime_;
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_SCHEDULER_SCHEDULER_H_
--- /dev/null
+++ b/beamhill/scheduler/work_owner.cc
@@ -0,0 +1,379 @@
+#include "beamhill/scheduler/work_owner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "beamhill/config/config.h"
+#include "beamhill/log/log.h"
+
+namespace beamhill {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+// Several messages that arrive together are decided on together.
+constexpr Duration kTickDelay = std::chrono::milliseconds(2);
+constexpr Duration kReloadPause = std::chrono::milliseconds(200);
+// A VM that has not been heard for so long is dialed anew.
+constexpr Duration kVmSilence = std::chrono::milliseconds(2500);
+constexpr Duration kReattachPause = std::chrono::milliseconds(300);
+
+UnixMillis UnixNow() {
+  return std::chrono::duration_cast<UnixMillis>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::string After(const std::string& key, const std::string& prefix) {
+  return key.substr(prefix.size());
+}
+
+}  // namespace
+
+// What is stored, collected table by table.
+struct WorkOwner::Loading {
+  std::vector<std::string> prefixes = {rows::kVms, rows::kWorkflows,
+                                       rows::kProgress, rows::kCancels};
+  std::map<std::string, std::vector<Row>> found;
+};
+
+WorkOwner::WorkOwner(EventLoop& loop, Table table, OwnershipKeeper& keeper,
+                     const WorkOwnerOptions& options, WorkOwnerMetrics metrics)
+    : loop_(loop),
+      table_(table),
+      keeper_(keeper),
+      options_(options),
+      metrics_(metrics),
+      desk_(table) {
+  Load();
+}
+
+WorkOwner::~WorkOwner() = default;
+
+void WorkOwner::Load() { LoadNext(std::make_shared<Loading>()); }
+
+void WorkOwner::LoadNext(std::shared_ptr<Loading> loading) {
+  const size_t next = loading->found.size();
+  if (next == loading->prefixes.size()) {
+    OnLoaded(*loading);
+    return;
+  }
+  const std::string prefix = loading->prefixes[next];
+  table_.scan(prefix, lifetime_.Guard([this, loading,
+                                       prefix](Result<std::vector<Row>> rows) {
+    if (!IsOk(rows)) {
+      Log(LogLevel::kWarning, "load_failed",
+          {{"table", prefix}, {"error", ErrorOf(rows).message}});
+      reload_ = loop_.After(kReloadPause, [this] { Load(); });
+      return;
+    }
+    loading->found[prefix] = ValueOf(rows);
+    LoadNext(loading);
+  }));
+}
+
+void WorkOwner::OnLoaded(const Loading& loading) {
+  const TimePoint now = BootClock::now();
+  DispatcherOptions options;
+  options.epoch = options_.epoch;
+  options.lease_term = options_.lease_term;
+  options.inherited_bound = options_.inherited_bound;
+  if (!options_.first) {
+    for (const Row& row : loading.found.at(rows::kVms)) {
+      options.inherited_vms.push_back(After(row.key, rows::kVms));
+    }
+  }
+  dispatcher_ = Dispatcher::Create(
+      options,
+      [](const std::string& workflow, const std::string& event,
+         const std::string& detail) {
+        Log(LogLevel::kInfo, event,
+            {{"request", workflow}, {"detail", detail}});
+      },
+      now);
+  std::map<std::string, ProgressRecord> records;
+  for (const Row& row : loading.found.at(rows::kProgress)) {
+    auto record = DecodeRecord<ProgressRecord>(row.value);
+    if (IsOk(record))
+      records[After(row.key, rows::kProgress)] = ValueOf(record);
+  }
+  for (const Row& row : loading.found.at(rows::kWorkflows)) {
+    const auto workflow = DecodeRecord<Workflow>(row.value);
+    if (!IsOk(workflow)) {
+      Log(LogLevel::kError, "bad_row",
+          {{"key", row.key}, {"error", ErrorOf(workflow).message}});
+      continue;
+    }
+    const auto record = records.find(ValueOf(workflow).id);
+    dispatcher_->AddWorkflow(
+        ValueOf(workflow),
+        record == records.end() ? std::nullopt : std::optional(record->second),
+        now);
+  }
+  for (const Row& row : loading.found.at(rows::kCancels)) {
+    dispatcher_->Cancel(After(row.key, rows::kCancels), now);
+  }
+  Log(LogLevel::kInfo, "owner_loaded",
+      {{"epoch", options_.epoch},
+       {"workflows", dispatcher_->workflows()},
+       {"vms", loading.found.at(rows::kVms).size()}});
+  OnVmRows(loading.found.at(rows::kVms));
+  tick_ = loop_.Every(kTickInterval, [this] { Tick(); });
+  scan_ = loop_.Every(options_.scan_interval, [this] { Scan(); });
+  Scan();
+  Tick();
+}
+
+void WorkOwner::Scan() {
+  if (!scanning_vms_) {
+    scanning_vms_ = true;
+    table_.scan(rows::kVms,
+                lifetime_.Guard([this](Result<std::vector<Row>> rows) {
+                  scanning_vms_ = false;
+                  if (IsOk(rows)) OnVmRows(ValueOf(rows));
+                }));
+  }
+  if (!scanning_arrivals_) {
+    scanning_arrivals_ = true;
+    table_.scan(rows::kArrivals,
+                lifetime_.Guard([this](Result<std::vector<Row>> rows) {
+                  scanning_arrivals_ = false;
+                  if (IsOk(rows)) OnArrivalRows(ValueOf(rows));
+                }));
+  }
+}
+
+void WorkOwner::OnVmRows(const std::vector<Row>& rows) {
+  for (const Row& row : rows) {
+    const auto record = DecodeRecord<VmRecord>(row.value);
+    if (!IsOk(record)) continue;
+    const auto it = vms_.find(ValueOf(record).vm);
+    if (it != vms_.end() &&
+        it->second.record.address == ValueOf(record).address) {
+      continue;
+    }
+    Connect(ValueOf(record));
+  }
+}
+
+void WorkOwner::OnArrivalRows(const std::vector<Row>& rows) {
+  const std::string new_prefix = rows::NewMarker("");
+  const std::string cancel_prefix = rows::CancelMarker("");
+  for (const Row& row : rows) {
+    if (row.key.rfind(cancel_prefix, 0) == 0) {
+      OnCancelStored(After(row.key, cancel_prefix));
+      continue;
+    }
+    const std::string id = After(row.key, new_prefix);
+    if (dispatcher_->Knows(id)) {
+      const auto state = dispatcher_->StateOf(id);
+      if (state >= WorkflowState::kCompleted) stale_markers_.insert(row.key);
+      continue;
+    }
+    LoadWorkflow(id);
+  }
+}
+
+void WorkOwner::LoadWorkflow(const std::string& id) {
+  if (!loading_workflows_.insert(id).second) return;
+  desk_.Load(id, [this, id](std::optional<Workflow> workflow,
+                            std::optional<ProgressRecord> record) {
+    loading_workflows_.erase(id);
+    if (workflow) Add(*workflow, record);
+  });
+}
+
+void WorkOwner::Add(const Workflow& workflow,
+                    const std::optional<ProgressRecord>& record) {
+  dispatcher_->AddWorkflow(workflow, record, BootClock::now());
+  if (early_cancels_.erase(workflow.id) > 0) {
+    dispatcher_->Cancel(workflow.id, BootClock::now());
+  }
+  TickSoon();
+}
+
+void WorkOwner::Connect(const VmRecord& record) {
+  const Result<Address> address = ParseAddress(record.address);
+  if (!IsOk(address)) {
+    Log(LogLevel::kWarning, "bad_row",
+        {{"vm", record.vm}, {"error", ErrorOf(address).message}});
+    return;
+  }
+  VmPeer& vm = vms_[record.vm];
+  if (vm.peer) dispatcher_->OnLinkDown(record.vm);
+  vm.record = record;
+  const std::string name = record.vm;
+  DialedPeerHooks hooks;
+  hooks.on_open = [this, name] {
+    Log(LogLevel::kInfo, "vm_linked", {{"vm", name}});
+    dispatcher_->OnLinkUp(name);
+    Flush();
+  };
+  hooks.on_message = [this, name](const DispatchMessage& message) {
+    OnVmMessage(name, message);
+  };
+  hooks.on_down = [this, name](bool was_open) {
+    if (was_open) {
+      Log(LogLevel::kWarning, "vm_unlinked", {{"vm", name}});
+    }
+    dispatcher_->OnLinkDown(name);
+  };
+  vm.peer =
+      std::make_unique<DialedPeer>(loop_, ValueOf(address), std::move(hooks));
+}
+
+void WorkOwner::OnVmMessage(const std::string& vm,
+                            const DispatchMessage& message) {
+  const TimePoint now = BootClock::now();
+  dispatcher_->set_may_act(keeper_.MayAct() && !quiet_);
+  if (const auto* beat = std::get_if<VmHeartbeat>(&message)) {
+    dispatcher_->OnHeartbeat(vm, *beat, now);
+    Flush();
+    return;
+  }
+  if (const auto* status = std::get_if<VmStatus>(&message)) {
+    dispatcher_->OnStatus(vm, *status);
+  } else if (const auto* reports = std::get_if<RunReports>(&message)) {
+    dispatcher_->OnReports(vm, *reports, now);
+  } else if (const auto* inventory = std::get_if<VmInventory>(&message)) {
+    if (!dispatcher_->OnInventory(vm, *inventory, now)) {
+      Log(LogLevel::kInfo, "inventory_with_unknown_work", {{"vm", vm}});
+      Scan();
+      reload_ = loop_.After(kReattachPause, [this, vm] {
+        dispatcher_->OnLinkUp(vm);
+        Flush();
+      });
+      return;
+    }
+  }
+  TickSoon();
+}
+
+void WorkOwner::OnWorkflowStored(const Workflow& workflow) {
+  // While loading, the load finds it.
+  if (!dispatcher_ || dispatcher_->Knows(workflow.id)) return;
+  if (workflow.offered_to == options_.epoch) {
+    Add(workflow, std::nullopt);
+  } else {
+    // An earlier owner may have heard of it too: what is stored counts.
+    LoadWorkflow(workflow.id);
+  }
+}
+
+void WorkOwner::OnCancelStored(const std::string& workflow) {
+  if (!dispatcher_) return;
+  const auto state = dispatcher_->StateOf(workflow);
+  if (!state) {
+    early_cancels_.insert(workflow);
+    return;
+  }
+  if (*state >= WorkflowState::kCompleted) {
+    stale_markers_.insert(rows::CancelMarker(workflow));
+    return;
+  }
+  dispatcher_->Cancel(workflow, BootClock::now());
+  TickSoon();
+}
+
+std::optional<WorkflowState> WorkOwner::StateOf(
+    const std::string& workflow) const {
+  return dispatcher_ ? dispatcher_->StateOf(workflow) : std::nullopt;
+}
+
+std::optional<uint64_t> WorkOwner::WaitingIn(const std::string& queue) const {
+  if (!dispatcher_) return std::nullopt;
+  return dispatcher_->WaitingIn(queue);
+}
+
+void WorkOwner::TickSoon() {
+  if (tick_pending_) return;
+  tick_pending_ = true;
+  tick_soon_ = loop_.After(kTickDelay, [this] { Tick(); });
+}
+
+void WorkOwner::Tick() {
+  tick_pending_ = false;
+  const TimePoint now = BootClock::now();
+  dispatcher_->set_may_act(keeper_.MayAct() && !quiet_);
+  dispatcher_->Tick(now, UnixNow());
+  const uint64_t starts = dispatcher_->counts().starts;
+  metrics_.starts->Add(starts - starts_counted_);
+  starts_counted_ = starts;
+  MaybeCommit();
+  Flush();
+  for (auto& [name, vm] : vms_) vm.peer->CloseIfSilent(kVmSilence);
+}
+
+void WorkOwner::Flush() {
+  if (!keeper_.MayAct()) {
+    dispatcher_->TakeMessages();
+    return;
+  }
+  for (const VmMessage& out : dispatcher_->TakeMessages()) {
+    const auto it = vms_.find(out.vm);
+    if (it != vms_.end()) it->second.peer->Send(out.message);
+  }
+}
+
+std::vector<RowWrite> WorkOwner::WritesOf(const DispatchCommit& commit) {
+  std::vector<RowWrite> writes;
+  const auto remove = [&writes](const std::string& key) {
+    writes.push_back({key, kAnyVersion, std::nullopt});
+  };
+  for (const auto& [id, record] : commit.progress) {
+    writes.push_back({rows::kProgress + id, kAnyVersion, EncodeRecord(record)});
+    remove(rows::NewMarker(id));
+    stale_markers_.erase(rows::NewMarker(id));
+  }
+  for (const std::string& id : commit.forgotten) {
+    remove(rows::kWorkflows + id);
+    remove(rows::kProgress + id);
+    remove(rows::kCancels + id);
+  }
+  constexpr size_t kMaxWrites = 98;  // Of 100; one is the owner's row.
+  while (!stale_markers_.empty() && writes.size() < kMaxWrites) {
+    remove(*stale_markers_.begin());
+    stale_markers_.erase(stale_markers_.begin());
+  }
+  return writes;
+}
+
+void WorkOwner::MaybeCommit() {
+  const TimePoint now = BootClock::now();
+  if (keeper_.committing() || !keeper_.MayAct()) return;
+  if (now - last_commit_ < options_.commit_interval && !quiet_) return;
+  const auto commit = dispatcher_->TakeCommit(now);
+  if (!commit) {
+    if (quiet_ && on_quiet_) std::exchange(on_quiet_, nullptr)();
+    return;
+  }
+  last_commit_ = now;
+  keeper_.Commit(WritesOf(*commit),
+                 lifetime_.Guard([this, now](bool committed) {
+                   OnCommitted(committed, now);
+                 }));
+}
+
+void WorkOwner::OnCommitted(bool committed, TimePoint sent_at) {
+  const TimePoint now = BootClock::now();
+  if (committed) {
+    metrics_.commit->Record(now - sent_at);
+    dispatcher_->OnCommitted(now);
+  } else {
+    Log(LogLevel::kWarning, "commit_failed", {{"epoch", options_.epoch}});
+    dispatcher_->OnCommitFailed();
+  }
+  Flush();
+  TickSoon();
+}
+
+void WorkOwner::Quiesce(std::function<void()> done) {
+  quiet_ = true;
+  on_quiet_ = std::move(done);
+  if (!dispatcher_) std::exchange(on_quiet_, nullptr)();
+}
+
+std::string WorkOwner::Dump() const {
+  if (!dispatcher_) return "loading\n";
+  return dispatcher_->Dump(BootClock::now());
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/scheduler/work_owner.h
@@ -0,0 +1,121 @@
+// What a scheduler process does while it owns the deployment's work: loads
+// what is stored, keeps a link to each VM's executor, drives the Dispatcher
+// and stores what it decides.
+//
+//   WorkOwner owner(loop, table, keeper, options, hooks);
+//   owner.OnWorkflowStored(workflow);
+#ifndef BEAMHILL_SCHEDULER_WORK_OWNER_H_
+#define BEAMHILL_SCHEDULER_WORK_OWNER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "beamhill/base/lifetime.h"
+#include "beamhill/dispatch/dispatcher.h"
+#include "beamhill/dispatch/ownership_keeper.h"
+#include "beamhill/event/event_loop.h"
+#include "beamhill/metrics/metrics.h"
+#include "beamhill/scheduler/dialed_peer.h"
+#include "beamhill/scheduler/job_desk.h"
+#include "beamhill/table/table.h"
+
+namespace beamhill {
+
+struct WorkOwnerOptions {
+  uint64_t epoch = 0;
+  Duration lease_term = std::chrono::seconds(5);
+  Duration inherited_bound{};
+  bool first = false;  // No owner came before.
+  // How often new VMs and missed notices are looked for in the table.
+  Duration scan_interval = std::chrono::milliseconds(1500);
+  // Least time between the beginnings of two transactions.
+  Duration commit_interval = std::chrono::milliseconds(40);
+};
+
+// Histograms that outlive one ownership.
+struct WorkOwnerMetrics {
+  LatencyHistogram* commit = nullptr;
+  Counter* starts = nullptr;
+};
+
+class WorkOwner {
+ public:
+  WorkOwner(EventLoop& loop, Table table, OwnershipKeeper& keeper,
+            const WorkOwnerOptions& options, WorkOwnerMetrics metrics);
+  ~WorkOwner();
+  WorkOwner(const WorkOwner&) = delete;
+  WorkOwner& operator=(const WorkOwner&) = delete;
+
+  // Whether what was stored is loaded; before that nothing is decided.
+  bool loaded() const { return dispatcher_ != nullptr; }
+  // Notices of what peers or this process stored.
+  void OnWorkflowStored(const Workflow& workflow);
+  void OnCancelStored(const std::string& workflow);
+
+  std::optional<WorkflowState> StateOf(const std::string& workflow) const;
+  std::optional<uint64_t> WaitingIn(const std::string& queue) const;
+
+  // Starts nothing more and stores what is decided, then calls the hook.
+  void Quiesce(std::function<void()> done);
+
+  const Dispatcher* dispatcher() const { return dispatcher_.get(); }
+  std::string Dump() const;
+
+ private:
+  struct VmPeer {
+    VmRecord record;
+    std::unique_ptr<DialedPeer> peer;
+  };
+  struct Loading;
+
+  void Load();
+  void LoadNext(std::shared_ptr<Loading> loading);
+  void OnLoaded(const Loading& loading);
+  void Scan();
+  void OnVmRows(const std::vector<Row>& rows);
+  void OnArrivalRows(const std::vector<Row>& rows);
+  void LoadWorkflow(const std::string& id);
+  void Add(const Workflow& workflow,
+           const std::optional<ProgressRecord>& record);
+  void Connect(const VmRecord& record);
+  void OnVmMessage(const std::string& vm, const DispatchMessage& message);
+  void TickSoon();
+  void Tick();
+  void Flush();
+  void MaybeCommit();
+  void OnCommitted(bool committed, TimePoint sent_at);
+  std::vector<RowWrite> WritesOf(const DispatchCommit& commit);
+
+  EventLoop& loop_;
+  Table table_;
+  OwnershipKeeper& keeper_;
+  WorkOwnerOptions options_;
+  WorkOwnerMetrics metrics_;
+  JobDesk desk_;
+  std::unique_ptr<Dispatcher> dispatcher_;
+  std::map<std::string, VmPeer> vms_;
+  std::set<std::string> loading_workflows_;
+  std::set<std::string> early_cancels_;  // Of workflows not added yet.
+  std::set<std::string> stale_markers_;  // To remove with the next commit.
+  bool scanning_vms_ = false;
+  bool scanning_arrivals_ = false;
+  bool quiet_ = false;
+  std::function<void()> on_quiet_;
+  TimePoint last_commit_{};
+  uint64_t starts_counted_ = 0;
+  Timer tick_soon_;
+  bool tick_pending_ = false;
+  Timer tick_;
+  Timer scan_;
+  Timer reload_;
+  Lifetime lifetime_;
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_SCHEDULER_WORK_OWNER_H_
--- a/beamhill/table/table.h
+++ b/beamhill/table/table.h
@@ -27,6 +27,10 @@
   uint64_t version = 0;
 };
 
+// As an expected version: write whatever version the row has. For rows that
+// another row's check guards already.
+inline constexpr uint64_t kAnyVersion = UINT64_MAX;
+
 // Takes effect only if the row has that version.
 struct RowWrite {
   std::string key;
--- /dev/null
+++ b/beamhill/workflow/workflow.cc
@@ -0,0 +1,78 @@
+#include "beamhill/workflow/workflow.h"
+
+#include <algorithm>
+
+namespace beamhill {
+namespace {
+
+// Beyond these a single submission would take an entry's memory.
+constexpr uint32_t kMaxTasksOfStep = 10'000;
+constexpr size_t kMaxSteps = 100;
+constexpr uint32_t kMaxRounds = 1'000;
+constexpr uint64_t kMaxTasksOfWorkflow = 100'000;
+
+Error Invalid(const std::string& message) {
+  return {ErrorCode::kInvalidArgument, message, "correct the workflow"};
+}
+
+std::optional<Error> CheckStep(const Workflow& workflow, size_t number) {
+  const WorkflowStep& step = workflow.steps[number];
+  const std::string name = "step " + std::to_string(number);
+  if (step.tasks == 0 || step.tasks > kMaxTasksOfStep) {
+    return Invalid(name + " needs 1 to " + std::to_string(kMaxTasksOfStep) +
+                   " tasks");
+  }
+  if (step.each.cpu_millis < 0 || step.each.memory_mib < 0 ||
+      step.each.accelerators < 0) {
+    return Invalid(name + " asks for less than nothing");
+  }
+  for (const uint32_t earlier : step.after) {
+    if (earlier >= number) {
+      return Invalid(name + " may only wait for steps before it");
+    }
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string TaskRef::ToString() const {
+  return workflow + "." + std::to_string(round) + "." + std::to_string(step) +
+         "." + std::to_string(index);
+}
+
+std::optional<Error> CheckWorkflow(const Workflow& workflow) {
+  if (workflow.steps.empty() || workflow.steps.size() > kMaxSteps) {
+    return Invalid("a workflow needs 1 to " + std::to_string(kMaxSteps) +
+                   " steps");
+  }
+  if (workflow.repetitions > kMaxRounds) {
+    return Invalid("at most " + std::to_string(kMaxRounds) + " repetitions");
+  }
+  uint64_t tasks = 0;
+  for (size_t i = 0; i < workflow.steps.size(); ++i) {
+    if (auto error = CheckStep(workflow, i)) return error;
+    tasks += workflow.steps[i].tasks;
+  }
+  if (tasks * workflow.rounds() > kMaxTasksOfWorkflow) {
+    return Invalid("at most " + std::to_string(kMaxTasksOfWorkflow) +
+                   " tasks in all");
+  }
+  return std::nullopt;
+}
+
+Duration DeclaredChain(const Workflow& workflow) {
+  std::vector<Duration> ends(workflow.steps.size());
+  Duration longest{};
+  for (size_t i = 0; i < workflow.steps.size(); ++i) {
+    Duration begin{};
+    for (const uint32_t earlier : workflow.steps[i].after) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    ends[i] = begin + workflow.steps[i].declared_run;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/workflow/workflow_progress.cc
@@ -0,0 +1,251 @@
+#include "beamhill/workflow/workflow_progress.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace beamhill {
+
+std::string_view WorkflowStateName(WorkflowState state) {
+  switch (state) {
+    case WorkflowState::kQueued:
+      return "queued";
+    case WorkflowState::kRunning:
+      return "running";
+    case WorkflowState::kCompleted:
+      return "completed";
+    case WorkflowState::kFailed:
+      return "failed";
+    case WorkflowState::kCancelled:
+      return "cancelled";
+  }
+  return "queued";
+}
+
+std::string_view RunEndKindName(RunEndKind kind) {
+  switch (kind) {
+    case RunEndKind::kDone:
+      return "done";
+    case RunEndKind::kFailed:
+      return "failed";
+    case RunEndKind::kStopped:
+      return "stopped";
+    case RunEndKind::kLapsed:
+      return "lapsed";
+    case RunEndKind::kBroken:
+      return "broken";
+    case RunEndKind::kAlone:
+      return "alone";
+    case RunEndKind::kNotBegun:
+      return "not_begun";
+  }
+  return "not_begun";
+}
+
+WorkflowProgress::WorkflowProgress(Workflow workflow)
+    : workflow_(std::move(workflow)) {
+  for (uint32_t round = 0; round < workflow_.rounds(); ++round) {
+    for (const WorkflowStep& step : workflow_.steps) {
+      tasks_.emplace_back(step.tasks);
+      undone_.push_back(step.tasks);
+    }
+  }
+}
+
+void WorkflowProgress::Restore(const ProgressRecord& record) {
+  for (const StepRecord& stored : record.steps) {
+    if (stored.round >= workflow_.rounds() ||
+        stored.step >= workflow_.steps.size()) {
+      continue;
+    }
+    std::vector<Task>& tasks = TasksOf(stored.round, stored.step);
+    for (size_t i = 0; i + 1 < stored.done_ranges.size(); i += 2) {
+      const uint32_t end = std::min<uint32_t>(
+          stored.done_ranges[i + 1], static_cast<uint32_t>(tasks.size()));
+      for (uint32_t index = stored.done_ranges[i]; index < end; ++index) {
+        MarkDone({workflow_.id, stored.round, stored.step, index},
+                 tasks[index]);
+      }
+    }
+    for (const StepRecord::Failures& failed : stored.failures) {
+      if (failed.index >= tasks.size()) continue;
+      Task& task = tasks[failed.index];
+      task.failures = failed.count;
+      task.last_failed_run = failed.last_run;
+      task.run = std::max(task.run, failed.last_run);
+    }
+  }
+  begun_ = record.state != WorkflowState::kQueued;
+  state_ = record.state;
+}
+
+ProgressRecord WorkflowProgress::Record(uint64_t epoch) const {
+  ProgressRecord record;
+  record.opened_by = epoch;
+  record.state = state_;
+  if (state_ == WorkflowState::kCompleted ||
+      state_ == WorkflowState::kCancelled) {
+    return record;
+  }
+  for (uint32_t round = 0; round < workflow_.rounds(); ++round) {
+    for (uint32_t step = 0; step < workflow_.steps.size(); ++step) {
+      StepRecord stored;
+      stored.round = round;
+      stored.step = step;
+      const std::vector<Task>& tasks = TasksOf(round, step);
+      for (uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].failures > 0) {
+          stored.failures.push_back(
+              {i, tasks[i].failures, tasks[i].last_failed_run});
+        }
+        if (tasks[i].phase != Phase::kDone) continue;
+        if (!stored.done_ranges.empty() && stored.done_ranges.back() == i) {
+          ++stored.done_ranges.back();
+        } else {
+          stored.done_ranges.push_back(i);
+          stored.done_ranges.push_back(i + 1);
+        }
+      }
+      if (!stored.done_ranges.empty() || !stored.failures.empty()) {
+        record.steps.push_back(std::move(stored));
+      }
+    }
+  }
+  return record;
+}
+
+std::vector<WorkflowProgress::OpenStep> WorkflowProgress::OpenSteps(
+    UnixMillis now) const {
+  std::vector<OpenStep> open;
+  if (over()) return open;
+  for (uint32_t round = 0; round < workflow_.rounds(); ++round) {
+    if (workflow_.repetitions > 0 &&
+        workflow_.first_due + round * workflow_.interval > now) {
+      break;
+    }
+    for (uint32_t step = 0; step < workflow_.steps.size(); ++step) {
+      if (undone_[Slot(round, step)] == 0) continue;
+      const std::vector<uint32_t>& after = workflow_.steps[step].after;
+      const bool ready = std::all_of(
+          after.begin(), after.end(),
+          [&](uint32_t earlier) { return StepDone(round, earlier); });
+      if (ready) open.push_back({round, step});
+    }
+  }
+  return open;
+}
+
+bool WorkflowProgress::HasLaterRound(UnixMillis now) const {
+  if (workflow_.repetitions == 0 || over()) return false;
+  return workflow_.first_due + (workflow_.rounds() - 1) * workflow_.interval >
+         now;
+}
+
+WorkflowProgress::Task& WorkflowProgress::At(const TaskRef& task) {
+  return TasksOf(task.round, task.step)[task.index];
+}
+
+const WorkflowProgress::Task& WorkflowProgress::At(const TaskRef& task) const {
+  return TasksOf(task.round, task.step)[task.index];
+}
+
+bool WorkflowProgress::Has(const TaskRef& task) const {
+  return task.round < workflow_.rounds() &&
+         task.step < workflow_.steps.size() &&
+         task.index < workflow_.steps[task.step].tasks;
+}
+
+std::vector<WorkflowProgress::Task>& WorkflowProgress::TasksOf(uint32_t round,
+                                                               uint32_t step) {
+  return tasks_[Slot(round, step)];
+}
+
+const std::vector<WorkflowProgress::Task>& WorkflowProgress::TasksOf(
+    uint32_t round, uint32_t step) const {
+  return tasks_[Slot(round, step)];
+}
+
+bool WorkflowProgress::StepDone(uint32_t round, uint32_t step) const {
+  return undone_[Slot(round, step)] == 0;
+}
+
+void WorkflowProgress::OnStarted(const TaskRef& ref, uint64_t run,
+                                 const std::string& vm, TimePoint now) {
+  Task& task = At(ref);
+  task.phase = Phase::kHeld;
+  task.run = std::max(task.run, run);
+  task.vm = vm;
+  task.held_since = now;
+  begun_ = true;
+  if (state_ == WorkflowState::kQueued) state_ = WorkflowState::kRunning;
+}
+
+void WorkflowProgress::MarkDone(const TaskRef& ref, Task& task) {
+  if (task.phase == Phase::kDone) return;
+  task.phase = Phase::kDone;
+  task.vm.clear();
+  --undone_[Slot(ref.round, ref.step)];
+}
+
+void WorkflowProgress::StopHolding(Task& task, uint64_t run) {
+  if (task.phase != Phase::kHeld || run < task.run) return;
+  task.phase = Phase::kWaiting;
+  task.vm.clear();
+}
+
+bool WorkflowProgress::CountFailure(const TaskRef& ref, uint64_t run) {
+  const WorkflowStep& step = workflow_.steps[ref.step];
+  Task& task = At(ref);
+  if (step.long_running || run <= task.last_failed_run) return false;
+  task.last_failed_run = run;
+  ++task.failures;
+  uint32_t failures = task.failures;
+  if (step.gang) {
+    // A gang fails as a whole, whichever member it was.
+    failures = 0;
+    for (const Task& member : TasksOf(ref.round, ref.step)) {
+      failures += member.failures;
+    }
+  }
+  if (failures >= workflow_.policy.max_attempts) {
+    state_ = WorkflowState::kFailed;
+  }
+  return true;
+}
+
+bool WorkflowProgress::OnEnded(const TaskRef& ref, uint64_t run,
+                               RunEndKind kind, const std::string& checkpoint) {
+  Task& task = At(ref);
+  const WorkflowStep& step = workflow_.steps[ref.step];
+  if (task.phase == Phase::kDone || over()) {
+    StopHolding(task, run);
+    return false;
+  }
+  if (kind == RunEndKind::kDone && !step.long_running) {
+    if (step.gang) {
+      // One member's end counts for all of them.
+      std::vector<Task>& all = TasksOf(ref.round, ref.step);
+      for (uint32_t i = 0; i < all.size(); ++i) {
+        MarkDone({ref.workflow, ref.round, ref.step, i}, all[i]);
+      }
+    } else {
+      MarkDone(ref, task);
+    }
+    Settle();
+    return true;
+  }
+  StopHolding(task, run);
+  if (!checkpoint.empty()) task.checkpoint = checkpoint;
+  return kind == RunEndKind::kFailed && CountFailure(ref, run);
+}
+
+void WorkflowProgress::Settle() {
+  const bool all_done = std::all_of(undone_.begin(), undone_.end(),
+                                    [](uint32_t n) { return n == 0; });
+  if (all_done) state_ = WorkflowState::kCompleted;
+}
+
+void WorkflowProgress::Cancel() {
+  if (!over()) state_ = WorkflowState::kCancelled;
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/workflow/workflow_progress.h
@@ -0,0 +1,149 @@
+// How far one workflow has come: which tasks are done, waiting or running,
+// how often each has failed, and whether the whole is over.
+//
+// Pure. The record that outlives the process (`ProgressRecord`) holds only
+// what can't be rebuilt from the VMs' inventories: ends that were settled.
+//
+//   WorkflowProgress progress(workflow);
+//   for (TaskRef task : progress.Ready(now_unix)) ...
+//   progress.OnStarted(task, run, vm);
+//   progress.OnEnded(task, run, RunEndKind::kDone, "");
+#ifndef BEAMHILL_WORKFLOW_WORKFLOW_PROGRESS_H_
+#define BEAMHILL_WORKFLOW_WORKFLOW_PROGRESS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "beamhill/base/time.h"
+#include "beamhill/workflow/workflow.h"
+
+namespace beamhill {
+
+enum class WorkflowState : uint8_t {
+  kQueued,
+  kRunning,
+  kCompleted,
+  kFailed,
+  kCancelled,
+};
+std::string_view WorkflowStateName(WorkflowState state);
+
+// How one run of a task ended.
+enum class RunEndKind : uint8_t {
+  kDone,
+  kFailed,
+  kStopped,   // On our order.
+  kLapsed,    // Its lease ran out.
+  kBroken,    // Another member of its gang ended.
+  kAlone,     // Its gang was never complete.
+  kNotBegun,  // Refused, or proven never to begin.
+};
+std::string_view RunEndKindName(RunEndKind kind);
+
+// The done tasks and the failures of one step in one round.
+struct StepRecord {
+  uint32_t round = 0;
+  uint32_t step = 0;
+  std::vector<uint32_t> done_ranges;  // begin, end, begin, end, ...
+  struct Failures {
+    uint32_t index = 0;
+    uint32_t count = 0;
+    uint64_t last_run = 0;  // Tells an end that is reported twice.
+
+    template <typename S>
+    static auto Fields(S& s) {
+      return std::tie(s.index, s.count, s.last_run);
+    }
+  };
+  std::vector<Failures> failures;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.round, s.step, s.done_ranges, s.failures);
+  }
+};
+
+// What is stored of a workflow's progress.
+struct ProgressRecord {
+  uint64_t opened_by = 0;  // Epoch of the owner that may have started tasks.
+  WorkflowState state = WorkflowState::kQueued;
+  std::vector<StepRecord> steps;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.opened_by, s.state, s.steps);
+  }
+};
+
+class WorkflowProgress {
+ public:
+  enum class Phase : uint8_t { kWaiting, kHeld, kDone };
+  struct Task {
+    Phase phase = Phase::kWaiting;
+    uint64_t run = 0;       // The highest run that is known of.
+    uint32_t failures = 0;  // Runs that ended by failing.
+    uint64_t last_failed_run = 0;
+    std::string vm;         // Where the task is held.
+    std::string failed_on;  // The VM where it failed last.
+    std::string checkpoint;
+    TimePoint held_since{};
+    TimePoint not_before{};  // Back-off after a refusal or a failure.
+  };
+
+  explicit WorkflowProgress(Workflow workflow);
+
+  const Workflow& workflow() const { return workflow_; }
+  WorkflowState state() const { return state_; }
+  bool over() const { return state_ >= WorkflowState::kCompleted; }
+  // Whether some task has begun, now or earlier.
+  bool begun() const { return begun_; }
+
+  // Takes over what was stored.
+  void Restore(const ProgressRecord& record);
+  ProgressRecord Record(uint64_t epoch) const;
+
+  // Steps of rounds whose time has come and whose earlier steps are done, and
+  // which still have a waiting task. `now` is on the wall clock.
+  struct OpenStep {
+    uint32_t round = 0;
+    uint32_t step = 0;
+  };
+  std::vector<OpenStep> OpenSteps(UnixMillis now) const;
+  // Whether a round that is not yet due remains.
+  bool HasLaterRound(UnixMillis now) const;
+
+  Task& At(const TaskRef& task);
+  const Task& At(const TaskRef& task) const;
+  bool Has(const TaskRef& task) const;
+  std::vector<Task>& TasksOf(uint32_t round, uint32_t step);
+  const std::vector<Task>& TasksOf(uint32_t round, uint32_t step) const;
+  bool StepDone(uint32_t round, uint32_t step) const;
+
+  void OnStarted(const TaskRef& ref, uint64_t run, const std::string& vm,
+                 TimePoint now);
+  // The run is over. Returns whether the stored record has changed. An end of
+  // a run other than the held one changes nothing but a `kDone`.
+  bool OnEnded(const TaskRef& ref, uint64_t run, RunEndKind kind,
+               const std::string& checkpoint);
+  void Cancel();
+
+ private:
+  size_t Slot(uint32_t round, uint32_t step) const {
+    return round * workflow_.steps.size() + step;
+  }
+  void Settle();
+  void MarkDone(const TaskRef& ref, Task& task);
+  bool CountFailure(const TaskRef& ref, uint64_t run);
+  void StopHolding(Task& task, uint64_t run);
+
+  Workflow workflow_;
+  WorkflowState state_ = WorkflowState::kQueued;
+  bool begun_ = false;
+  std::vector<std::vector<Task>> tasks_;  // By round and step.
+  std::vector<uint32_t> undone_;          // Tasks not done, by round and step.
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_WORKFLOW_WORKFLOW_PROGRESS_H_
--- a/cmake/beamhill.cmake
+++ b/cmake/beamhill.cmake
@@ -15,6 +15,9 @@
 
 # beamhill_test(name SRCS ... DEPS ...): one GoogleTest binary, run by ctest.
 function(beamhill_test name)
+  if(NOT BEAMHILL_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SRCS;DEPS" ${ARGN})
   add_executable(${name} ${ARG_SRCS})
   target_link_libraries(${name} PRIVATE ${ARG_DEPS} rapidcheck GTest::gmock
@@ -26,6 +29,9 @@
 
 # beamhill_benchmark(name SRCS ... DEPS ...): one Google Benchmark binary.
 function(beamhill_benchmark name)
+  if(NOT BEAMHILL_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "SRCS;DEPS" ${ARGN})
   add_executable(${name} ${ARG_SRCS})
   target_link_libraries(${name} PRIVATE ${ARG_DEPS} benchmark::benchmark_main)
