Keep a given-up epoch given up; learn which filler disturbs which service

Ruled out: late delivery of start orders (they carry ended leases), lost settlements (the ends were still listed).

Change: an epoch that was owned and given up is never taken up again; the next one is claimed. A peer is handed over to only if it was heard lately. Fillers are placed and paced by learned pairs of images; serving tasks gather on few VMs.

--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -64,6 +64,7 @@
   uint32_t round = 0;
   uint32_t step = 0;
   std::string payload;
+  std::string image;
   bool fills = false;
   Duration tail_target{};
   std::vector<StartRun> runs;
@@ -71,19 +72,20 @@
   template <typename S>
   static auto Fields(S& s) {
     return std::tie(s.epoch, s.life, s.workflow, s.round, s.step, s.payload,
-                    s.fills, s.tail_target, s.runs);
+                    s.image, s.fills, s.tail_target, s.runs);
   }
 };
 
 // What pacing needs to know of a run.
 struct RunTraits {
   RunRef run;
+  std::string image;
   bool fills = false;
   Duration tail_target{};
 
   template <typename S>
   static auto Fields(S& s) {
-    return std::tie(s.run, s.fills, s.tail_target);
+    return std::tie(s.run, s.image, s.fills, s.tail_target);
   }
 };
 
@@ -100,6 +102,63 @@
   }
 };
 
+// The tail of one serving image on a VM, over the last half second.
+struct ServingTail {
+  std::string image;
+  Duration tail{};
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.image, s.tail);
+  }
+};
+
+// The processor time that one filling image used beside it.
+struct FillingLoad {
+  std::string image;
+  int64_t cpu_millis = 0;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.image, s.cpu_millis);
+  }
+};
+
+// Executor to owner: who was disturbed beside whom.
+struct VmPressure {
+  uint64_t epoch = 0;
+  std::vector<ServingTail> serving;
+  std::vector<FillingLoad> filling;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.serving, s.filling);
+  }
+};
+
+// What a filling image that had a whole VM would add to a serving one's tail.
+struct PressureWeight {
+  std::string serving;
+  std::string filling;
+  Duration per_vm{};
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.serving, s.filling, s.per_vm);
+  }
+};
+
+// Owner to executors: what all VMs together have taught.
+struct PressureWeights {
+  uint64_t epoch = 0;
+  std::vector<PressureWeight> weights;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.weights);
+  }
+};
+
 // Owner to executor: stop these runs, or make sure that they never begin.
 struct StopRuns {
   uint64_t epoch = 0;
@@ -308,7 +367,7 @@
                  VmHeartbeat, VmStatus, VmInventory, RunReports,
                  SchedulerHeartbeat, ServiceSettingsCopy, WorkflowStored,
                  CancelStored, NoticeTaken, Question, Answer, HandOver,
-                 RunTraitsList>;
+                 RunTraitsList, VmPressure, PressureWeights>;
 
 // The row that says who owns the deployment's work.
 struct OwnerRecord {
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -17,6 +17,14 @@
 // Share of what serving tasks ask for that they use on average; what they
 // leave is taken by tasks that fill. From the workloads' sheets.
 constexpr double kServingUse = 0.55;
+// A filler that brings a serving image above this part of its target is
+// kept away, or paced once there; so such a place comes last.
+constexpr double kHarmfulRatio = 0.85;
+constexpr double kHarmCost = 5;
+// What it costs to bring a serving image to a VM where nothing serves, and to
+// one where only others do; against differences in load of at most 1.
+constexpr double kNewToServing = 3;
+constexpr double kMixing = 0.4;
 // Runs of an owner are numbered from its epoch times this, so that they are
 // above those of earlier owners without any record of them.
 constexpr uint64_t kRunsPerEpoch = 1000;
@@ -160,17 +168,49 @@
   return health_.MayPlace(name, vm.held.size(), now);
 }
 
-// Lower is better. What serves goes where least is used; what fills goes
-// where most processor time is left over; the rest goes where it fits
-// tightest, so that large tasks find room.
+// The worst tail over its target, by what was learned, if the filler came
+// here and worked at full speed; 0 where nothing serves or is known.
+double Dispatcher::WorstTailRatio(const Vm& vm,
+                                  const WorkflowStep& filler) const {
+  const auto whole =
+      static_cast<double>(std::max<int64_t>(vm.status.capacity.cpu_millis, 1));
+  ClassLoads loads;
+  for (const auto& [image, cpu] : vm.filling) {
+    loads[image] = static_cast<double>(cpu) / whole;
+  }
+  loads[filler.image] += static_cast<double>(filler.each.cpu_millis) / whole;
+  double worst = 0;
+  for (const auto& [image, serving] : vm.serving) {
+    const auto tail = interference_.Predict(image, loads);
+    if (!tail) continue;
+    worst = std::max(worst, ToMillis(*tail) / ToMillis(serving.tail_target));
+  }
+  return worst;
+}
+
+// Lower is better. What fills goes where most processor time is left over
+// and least harm is expected; what serves gathers on few VMs, beside its like
+// if it can, so that fillers find VMs where they disturb nothing; the rest
+// goes where it fits tightest.
 double Dispatcher::Cost(const Vm& vm, const WorkflowStep& step) const {
   const auto used = static_cast<double>(vm.used.cpu_millis);
   const auto filling = static_cast<double>(vm.filling_cpu);
   const auto serving = static_cast<double>(vm.serving_cpu);
   const auto whole =
       static_cast<double>(std::max<int64_t>(vm.status.capacity.cpu_millis, 1));
-  if (step.fills) return (used + filling + serving) / whole;
-  if (step.tail_target > Duration(0)) return (used + 2 * filling) / whole;
+  if (step.fills) {
+    const double busy =
+        (used - serving + kServingUse * serving + filling) / whole;
+    if (vm.serving.empty()) return busy;
+    const double ratio = WorstTailRatio(vm, step);
+    const double harm = ratio > kHarmfulRatio ? kHarmCost * ratio : ratio;
+    return busy + harm;
+  }
+  if (step.tail_target > Duration(0)) {
+    if (vm.serving.empty()) return kNewToServing + filling / whole;
+    const double mixing = vm.serving.count(step.image) > 0 ? 0 : kMixing;
+    return mixing + (filling - used) / whole;
+  }
   return -used / whole;
 }
 
@@ -231,6 +271,7 @@
     starts.round = ref.round;
     starts.step = ref.step;
     starts.payload = workflow.payload;
+    starts.image = step.image;
     starts.fills = step.fills;
     starts.tail_target = step.tail_target;
   }
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -175,9 +175,18 @@
 void Dispatcher::Hold(Vm& vm, const RunRef& run, const WorkflowStep& step) {
   HeldRun held;
   held.amount = step.each;
-  held.serves = step.tail_target > Duration(0);
-  if (step.fills) std::swap(held.filling_cpu, held.amount.cpu_millis);
-  if (held.serves) vm.serving_cpu += held.amount.cpu_millis;
+  held.image = step.image;
+  held.tail_target = step.tail_target;
+  if (step.fills) {
+    std::swap(held.filling_cpu, held.amount.cpu_millis);
+    vm.filling[step.image] += held.filling_cpu;
+  }
+  if (held.tail_target > Duration(0)) {
+    vm.serving_cpu += held.amount.cpu_millis;
+    ServingImage& image = vm.serving[step.image];
+    ++image.runs;
+    image.tail_target = step.tail_target;
+  }
   vm.filling_cpu += held.filling_cpu;
   vm.used += held.amount;
   vm.held[run] = held;
@@ -187,12 +196,44 @@
   const auto it = vm.held.find(run);
   if (it == vm.held.end()) return;
   const HeldRun& held = it->second;
-  if (held.serves) vm.serving_cpu -= held.amount.cpu_millis;
+  if (held.tail_target > Duration(0)) {
+    vm.serving_cpu -= held.amount.cpu_millis;
+    if (--vm.serving[held.image].runs == 0) vm.serving.erase(held.image);
+  }
+  if (held.filling_cpu > 0) {
+    vm.filling[held.image] -= held.filling_cpu;
+    if (vm.filling[held.image] <= 0) vm.filling.erase(held.image);
+  }
   vm.filling_cpu -= held.filling_cpu;
   vm.used -= held.amount;
   vm.held.erase(it);
 }
 
+void Dispatcher::OnPressure(const std::string& vm, const VmPressure& pressure) {
+  const Vm& state = vms_[vm];
+  const int64_t whole = state.status.capacity.cpu_millis;
+  if (pressure.epoch != options_.epoch || whole <= 0) return;
+  ClassLoads loads;
+  for (const FillingLoad& load : pressure.filling) {
+    loads[load.image] =
+        static_cast<double>(load.cpu_millis) / static_cast<double>(whole);
+  }
+  for (const ServingTail& serving : pressure.serving) {
+    interference_.Observe(serving.image, loads, serving.tail);
+  }
+}
+
+void Dispatcher::SendWeights() {
+  PressureWeights learned{options_.epoch, {}};
+  for (const auto& weight : interference_.Weights()) {
+    learned.weights.push_back({weight.serving, weight.filler, weight.per_vm});
+  }
+  if (learned.weights.empty()) return;
+  for (const auto& [name, vm] : vms_) {
+    if (vm.answered && !vm.serving.empty()) Send(name, learned);
+  }
+}
+
 void Dispatcher::Stop(const std::string& name, Vm& vm, const RunRef& run) {
   const auto it = vm.held.find(run);
   if (it != vm.held.end()) {
@@ -312,7 +353,7 @@
     if (job == nullptr) continue;
     const WorkflowStep& step = job->progress.workflow().steps[run.task.step];
     if (step.fills || step.tail_target > Duration(0)) {
-      list.runs.push_back({run, step.fills, step.tail_target});
+      list.runs.push_back({run, step.image, step.fills, step.tail_target});
     }
   }
   if (!list.runs.empty()) Send(name, std::move(list));
@@ -486,10 +527,26 @@
   settling_.clear();
 }
 
-size_t Dispatcher::answering_vms() const {
-  return static_cast<size_t>(
-      std::count_if(vms_.begin(), vms_.end(),
-                    [](const auto& entry) { return entry.second.answered; }));
+DispatchSummary Dispatcher::Summary() const {
+  DispatchSummary summary;
+  for (const auto& [name, vm] : vms_) {
+    if (!vm.answered) continue;
+    ++summary.vms;
+    summary.capacity += vm.status.capacity;
+    summary.used += vm.used;
+    summary.serving_cpu += vm.serving_cpu;
+    summary.filling_cpu += vm.filling_cpu;
+    summary.held_runs += vm.held.size();
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (!job->progress.over()) ++summary.open_workflows;
+  }
+  for (const auto& weight : interference_.Weights()) {
+    const auto millis = static_cast<int64_t>(ToMillis(weight.per_vm));
+    summary.pressure += weight.filler + ">" + weight.serving + ":" +
+                        std::to_string(millis) + " ";
+  }
+  return summary;
 }
 
 std::string Dispatcher::Dump(TimePoint now) const {
@@ -503,6 +560,10 @@
         << " filling " << vm.filling_cpu << " lease_ms "
         << ToMillis(vm.lease_bound - now) << "\n";
   }
+  for (const auto& weight : interference_.Weights()) {
+    out << "pressure " << weight.filler << " on " << weight.serving << " ms "
+        << ToMillis(weight.per_vm) << "\n";
+  }
   for (const auto& [id, job] : jobs_) {
     if (job->progress.over()) continue;
     out << "workflow " << id << " " << WorkflowStateName(job->progress.state())
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -37,6 +37,7 @@
 
 #include "beamhill/base/time.h"
 #include "beamhill/dispatch/dispatch_messages.h"
+#include "beamhill/placement/pairwise_interference.h"
 #include "beamhill/placement/worker_health.h"
 #include "beamhill/workflow/workflow_progress.h"
 
@@ -57,6 +58,18 @@
   Duration retention = std::chrono::seconds(130);
 };
 
+// The whole deployment at one moment, for the log and for figures.
+struct DispatchSummary {
+  size_t vms = 0;  // Answering.
+  Resources capacity;
+  Resources used;           // By what doesn't fill.
+  int64_t serving_cpu = 0;  // Part of it.
+  int64_t filling_cpu = 0;  // What fillers ask for.
+  size_t open_workflows = 0;
+  size_t held_runs = 0;
+  std::string pressure;  // "filler>serving:ms" for each learned pair.
+};
+
 struct VmMessage {
   std::string vm;
   DispatchMessage message;
@@ -112,6 +125,8 @@
   // and attach anew.
   bool OnInventory(const std::string& vm, const VmInventory& inventory,
                    TimePoint now);
+  // Teaches which filling image disturbs which serving one.
+  void OnPressure(const std::string& vm, const VmPressure& pressure);
   void OnReports(const std::string& vm, const RunReports& reports,
                  TimePoint now);
 
@@ -119,6 +134,9 @@
   // the ownership.
   void set_may_act(bool may_act) { may_act_ = may_act; }
 
+  // Tells every VM what was learned of pressure.
+  void SendWeights();
+
   // Lets lapsed work go and starts what can start.
   void Tick(TimePoint now, UnixMillis unix_now);
 
@@ -131,7 +149,7 @@
   uint64_t epoch() const { return options_.epoch; }
   const DispatchCounts& counts() const { return counts_; }
   size_t workflows() const { return jobs_.size(); }
-  size_t answering_vms() const;
+  DispatchSummary Summary() const;
   size_t unaccounted_vms() const { return unaccounted_.size(); }
   // One line for each VM and each workflow that is not over.
   std::string Dump(TimePoint now) const;
@@ -153,9 +171,14 @@
   struct HeldRun {
     Resources amount;         // Without the processor time of a filler.
     int64_t filling_cpu = 0;  // What a filler would like of it.
-    bool serves = false;
+    std::string image;
+    Duration tail_target{};  // Above zero: it serves.
     bool stopping = false;
   };
+  struct ServingImage {
+    int runs = 0;
+    Duration tail_target{};
+  };
   struct Vm {
     VmStatus status;
     bool linked = false;
@@ -168,8 +191,10 @@
     Resources used;           // By what doesn't fill.
     int64_t filling_cpu = 0;  // Asked for by what fills.
     int64_t serving_cpu = 0;  // Part of `used` that serves.
-    uint64_t processed = 0;   // Highest end taken in, of this life.
-    uint64_t settled = 0;     // Highest end reported as durable.
+    std::map<std::string, ServingImage> serving;
+    std::map<std::string, int64_t> filling;  // By image, as asked for.
+    uint64_t processed = 0;  // Highest end taken in, of this life.
+    uint64_t settled = 0;    // Highest end reported as durable.
   };
   struct OpenStepRef {
     Job* job;
@@ -218,6 +243,7 @@
   bool Fits(const Vm& vm, const std::string& name, const Job& job,
             const WorkflowStep& step, TimePoint now) const;
   double Cost(const Vm& vm, const WorkflowStep& step) const;
+  double WorstTailRatio(const Vm& vm, const WorkflowStep& filler) const;
   void StartOn(const std::string& name, Vm& vm, Job& job, const TaskRef& ref,
                uint64_t run, TimePoint now);
   uint64_t NextRun(const WorkflowProgress::Task& task) const;
@@ -232,6 +258,7 @@
   std::map<std::string, Vm> vms_;
   std::set<std::string> unaccounted_;
   WorkerHealth health_;
+  PairwiseInterference interference_;
   // The step that was last found to have no room anywhere, in this tick.
   std::vector<std::pair<std::string, WorkflowStep>> no_room_;
 
--- a/beamhill/dispatch/ownership_keeper.cc
+++ b/beamhill/dispatch/ownership_keeper.cc
@@ -30,6 +30,11 @@
   look_at_ = heard_at_ + options_.silence_before_look;
 }
 
+void OwnershipKeeper::OnOwnerCutOff() {
+  const TimePoint soon = hooks_.now() + options_.look_interval;
+  if (!owns_ && look_at_ > soon) look_at_ = soon;
+}
+
 void OwnershipKeeper::OnOwnerGone(uint64_t incarnation) {
   if (owns_ || incarnation == gone_incarnation_) return;
   gone_incarnation_ = incarnation;
@@ -91,19 +96,26 @@
   row_seen_ = true;
   version_ = row.version;
   record_ = seen;
-  if (seen.owner == options_.name && seen.incarnation == options_.incarnation &&
-      !seen.released) {
+  const bool own_row =
+      seen.owner == options_.name && seen.incarnation == options_.incarnation;
+  if (own_row && seen.epoch > last_owned_epoch_ && !seen.released) {
     // A claim of ours whose answer was lost.
     Take(seen, row.version, sent_at, /*released=*/false);
     return;
   }
+  if (own_row) {
+    // We owned it and stopped acting; what we did is known to no one, so it
+    // takes a new epoch to go on.
+    Claim(row, /*released=*/true);
+    return;
+  }
   const bool handed_over = handed_over_epoch_ == seen.epoch;
   if (seen.released || handed_over) {
     Claim(row, /*released=*/true);
     return;
   }
   // An earlier run of this process is gone for certain.
-  const bool own_earlier_run = seen.owner == options_.name;
+  const bool own_earlier_run = seen.owner == options_.name && !own_row;
   if (own_earlier_run || OwnerLooksLost(now)) {
     Claim(row, /*released=*/false);
     return;
@@ -149,6 +161,7 @@
   confirmed_at_ = sent_at;
   last_commit_ = hooks_.now();
   owns_ = true;
+  last_owned_epoch_ = record.epoch;
   handed_over_epoch_ = 0;
   hooks_.log("ownership_taken", "epoch " + std::to_string(record.epoch));
   hooks_.on_taken(record.epoch, released, record.epoch == 1);
--- a/beamhill/dispatch/ownership_keeper.h
+++ b/beamhill/dispatch/ownership_keeper.h
@@ -72,6 +72,9 @@
   void Tick();
   // The owner of that epoch was heard on its link.
   void OnOwnerHeard(uint64_t epoch);
+  // The owner says that the table does not answer it: find out whether it
+  // answers us.
+  void OnOwnerCutOff();
   // That run of the owner is certainly gone.
   void OnOwnerGone(uint64_t incarnation);
   // The owner of that epoch has stopped acting in our favour.
@@ -129,6 +132,7 @@
   TimePoint no_claim_before_{};
   uint64_t gone_incarnation_ = 0;
   uint64_t handed_over_epoch_ = 0;
+  uint64_t last_owned_epoch_ = 0;
   Lifetime lifetime_;
 };
 
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -22,6 +22,10 @@
 constexpr int64_t kClockErrorPermille = 20;
 // Changes of a filler's share below this are not worth a call.
 constexpr int kLeastPaceChange = 5;
+// What a filler works at after a pace order without an answer.
+constexpr int kUnknownPercent = -1;
+// A sample covers half a second; more often would count it twice.
+constexpr Duration kPressureInterval = std::chrono::milliseconds(450);
 constexpr int kMaxLooksOpen = 2;
 
 NotBegunReason ReasonOf(RunnerVerdict verdict) {
@@ -131,6 +135,8 @@
     if (IsCurrent(link, settled->epoch, settled->life)) OnSettled(*settled);
   } else if (const auto* traits = std::get_if<RunTraitsList>(&message)) {
     if (IsCurrent(link, traits->epoch, traits->life)) OnTraits(*traits);
+  } else if (const auto* learned = std::get_if<PressureWeights>(&message)) {
+    if (owner_link_ == link && learned->epoch == epoch_) OnWeights(*learned);
   }
 }
 
@@ -165,7 +171,7 @@
 
 void Executor::OnTraits(const RunTraitsList& list) {
   for (const RunTraits& run : list.runs) {
-    traits_[run.run] = {run.fills, run.tail_target, 100};
+    traits_[run.run] = {run.image, run.fills, run.tail_target, 100};
   }
 }
 
@@ -187,7 +193,7 @@
   order.call_open = true;
   order.since = hooks_.now();
   if (starts.fills || starts.tail_target > Duration(0)) {
-    traits_[run] = {starts.fills, starts.tail_target, 100};
+    traits_[run] = {starts.image, starts.fills, starts.tail_target, 100};
   }
   RunnerStart call{status_.life,   epoch_,           run,
                    starts.payload, start.checkpoint, *lease_end};
@@ -400,36 +406,79 @@
 }
 
 void Executor::Pace(const RunnerView& view, TimePoint now) {
-  std::vector<TailSample> samples;
+  std::vector<ServingSample> serving;
+  Pacer::FillingShares filling;
   std::vector<RunRef> fillers;
+  const auto whole =
+      static_cast<double>(std::max<int64_t>(status_.capacity.cpu_millis, 1));
   for (const RunningRun& running : view.running) {
     const auto it = traits_.find(running.run);
     if (it == traits_.end()) continue;
-    if (it->second.fills) fillers.push_back(running.run);
-    if (it->second.tail_target > Duration(0)) {
-      samples.push_back(
-          {std::chrono::milliseconds(running.measure), it->second.tail_target});
+    const Traits& traits = it->second;
+    if (traits.fills) {
+      fillers.push_back(running.run);
+      filling[traits.image] += static_cast<double>(running.measure) / whole;
+    } else if (running.measure > 0) {
+      serving.push_back({traits.image,
+                         std::chrono::milliseconds(running.measure),
+                         traits.tail_target});
     }
   }
-  if (fillers.empty()) return;
-  const int percent = pacer_.Observe(samples, now);
+  if (serving.empty() && fillers.empty()) return;
+  pacer_.Observe(serving, filling, now);
+  ReportPressure(serving, filling, now);
   for (const RunRef& run : fillers) {
-    Traits& traits = traits_[run];
+    const Traits& traits = traits_[run];
+    const int percent = pacer_.PercentOf(traits.image);
     const int change = std::abs(traits.percent - percent);
-    if (change == 0 || (change < kLeastPaceChange && percent != 0)) continue;
-    traits.percent = percent;
-    ++counts_.paces;
-    runner_.pace({status_.life, epoch_, run, percent},
-                 lifetime_.Guard([this, run](RunnerReply reply) {
-                   NoteClock(reply.clock);
-                   if (reply.verdict == RunnerVerdict::kDone) return;
-                   // Unknown what it works at: order it again.
-                   const auto it = traits_.find(run);
-                   if (it != traits_.end()) it->second.percent = -1;
-                 }));
+    const bool worth_it = change >= kLeastPaceChange || percent == 0;
+    if (change > 0 && worth_it) OrderPace(run, percent);
   }
 }
 
+void Executor::OrderPace(const RunRef& run, int percent) {
+  traits_[run].percent = percent;
+  ++counts_.paces;
+  runner_.pace({status_.life, epoch_, run, percent},
+               lifetime_.Guard([this, run](RunnerReply reply) {
+                 NoteClock(reply.clock);
+                 if (reply.verdict == RunnerVerdict::kDone) return;
+                 // Unknown what it works at: order it again.
+                 const auto it = traits_.find(run);
+                 if (it != traits_.end()) it->second.percent = kUnknownPercent;
+               }));
+}
+
+// One tail for each serving image, the worst: its tasks on a VM share fate.
+void Executor::ReportPressure(const std::vector<ServingSample>& serving,
+                              const Pacer::FillingShares& filling,
+                              TimePoint now) {
+  if (serving.empty() || now - pressure_sent_at_ < kPressureInterval) return;
+  pressure_sent_at_ = now;
+  std::map<std::string, Duration> tails;
+  for (const ServingSample& sample : serving) {
+    tails[sample.image] = std::max(tails[sample.image], sample.tail);
+  }
+  VmPressure pressure;
+  pressure.epoch = epoch_;
+  for (const auto& [image, tail] : tails) {
+    pressure.serving.push_back({image, tail});
+  }
+  for (const auto& [image, share] : filling) {
+    const double cpu = share * static_cast<double>(status_.capacity.cpu_millis);
+    pressure.filling.push_back({image, static_cast<int64_t>(cpu)});
+  }
+  SendToOwner(pressure);
+}
+
+void Executor::OnWeights(const PressureWeights& learned) {
+  Pacer::Weights weights;
+  for (const PressureWeight& weight : learned.weights) {
+    weights[{weight.serving, weight.filling}] = weight.per_vm;
+  }
+  pacer_.SetWeights(std::move(weights));
+}
+
 void Executor::Tick() {
   const TimePoint now = hooks_.now();
   if (leaving_since_ && now - *leaving_since_ >= options_.leave_pause) {
@@ -462,7 +511,7 @@
       << " draining " << status_.draining << " lease_ms "
       << ToMillis(lease_end_ - hooks_.now()) << " orders " << orders_.size()
       << " traits " << traits_.size() << " settled " << settled_ << " listed "
-      << highest_listed_ << " filler_percent " << pacer_.percent() << "\n";
+      << highest_listed_ << "\n";
   return out.str();
 }
 
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -92,6 +92,7 @@
     TimePoint retry_at{};
   };
   struct Traits {
+    std::string image;
     bool fills = false;
     Duration tail_target{};
     int percent = 100;  // As last ordered.
@@ -103,6 +104,7 @@
   void OnStopRuns(const StopRuns& stops);
   void OnSettled(const EndsSettled& settled);
   void OnTraits(const RunTraitsList& list);
+  void OnWeights(const PressureWeights& learned);
   bool IsCurrent(uint64_t link, uint64_t epoch, const std::string& life);
 
   void StartOne(const StartRuns& starts, const StartRun& start);
@@ -119,6 +121,9 @@
   void SendInventory(const RunnerView& view);
   void ReportEnds(const RunnerView& view);
   void Pace(const RunnerView& view, TimePoint now);
+  void OrderPace(const RunRef& run, int percent);
+  void ReportPressure(const std::vector<ServingSample>& serving,
+                      const Pacer::FillingShares& filling, TimePoint now);
   void ResetLife();
   void NoteClock(const std::optional<RunnerClock>& clock);
   std::optional<RunnerClock> LeaseEndForRunner() const;
@@ -145,6 +150,7 @@
   std::map<RunRef, Order> orders_;
   std::map<RunRef, Traits> traits_;
   Pacer pacer_;
+  TimePoint pressure_sent_at_{};
   uint64_t settled_ = 0;  // Ends that may be forgotten.
   uint64_t highest_listed_ = 0;
   uint64_t reported_ = 0;  // Highest end sent on this link.
--- a/beamhill/executor/pacer.cc
+++ b/beamhill/executor/pacer.cc
@@ -7,35 +7,112 @@
 
 // Tail over target above which fillers are cut, and below which they get
 // more. The gap keeps the two from alternating.
-constexpr double kCutAbove = 0.92;
-constexpr double kGiveBelow = 0.78;
+constexpr double kCutAbove = 0.9;
+constexpr double kGiveBelow = 0.8;
 // A measurement covers half a second, so a change shows fully only then.
 constexpr Duration kCutPause = std::chrono::milliseconds(400);
-constexpr Duration kGivePause = std::chrono::milliseconds(500);
+constexpr Duration kGivePause = std::chrono::milliseconds(300);
 constexpr int kGiveStep = 12;
 // Below this share a filler is stopped altogether.
 constexpr int kLeastPercent = 8;
+// Part of the learned disturbance above which an image is a culprit.
+constexpr double kCulpritPart = 0.2;
+// Known fillers that explain less than this part of the target are not taken
+// for the cause, for so long.
+constexpr double kExplainsPart = 0.12;
+constexpr Duration kTrustWeights = std::chrono::milliseconds(900);
+constexpr double kKeepOver = 0.35;
+constexpr double kKeepNear = 0.65;
+
+double RatioOf(const ServingSample& sample) {
+  return ToMillis(sample.tail) / ToMillis(sample.target);
+}
 
 }  // namespace
 
-int Pacer::Observe(const std::vector<TailSample>& samples, TimePoint now) {
+int Pacer::PercentOf(const std::string& image) const {
+  const auto it = percents_.find(image);
+  return it == percents_.end() ? 100 : it->second;
+}
+
+double Pacer::WeightMillis(const std::string& serving,
+                           const std::string& filling) const {
+  const auto it = weights_.find({serving, filling});
+  return it == weights_.end() ? 0 : std::max(0.0, ToMillis(it->second));
+}
+
+void Pacer::Observe(const std::vector<ServingSample>& serving,
+                    const FillingShares& filling, TimePoint now) {
+  std::vector<ServingSample> over;
   double worst = 0;
-  for (const TailSample& sample : samples) {
+  for (const ServingSample& sample : serving) {
     if (sample.target <= Duration(0)) continue;
-    worst = std::max(worst, ToMillis(sample.tail) / ToMillis(sample.target));
+    worst = std::max(worst, RatioOf(sample));
+    if (RatioOf(sample) > kCutAbove) over.push_back(sample);
+  }
+  if (!over.empty() && !over_) over_since_ = now;
+  over_ = !over.empty();
+  if (over_ && now - cut_at_ >= kCutPause) {
+    if (now - over_since_ >= kTrustWeights) {
+      // Whatever is known has not helped.
+      for (const auto& [image, share] : filling) CutImage(image, kKeepOver);
+    } else {
+      Cut(over, filling);
+    }
+    cut_at_ = now;
+  } else if (worst < kGiveBelow && now - given_at_ >= kGivePause &&
+             now - cut_at_ >= kCutPause) {
+    Give(serving, filling);
+    given_at_ = now;
+  }
+}
+
+void Pacer::CutImage(const std::string& image, double keep) {
+  int percent = static_cast<int>(PercentOf(image) * keep);
+  if (percent < kLeastPercent) percent = 0;
+  percents_[image] = percent;
+}
+
+void Pacer::Cut(const std::vector<ServingSample>& over,
+                const FillingShares& filling) {
+  std::map<std::string, double> blame;
+  double total = 0;
+  double worst = 0;
+  double target = 0;
+  bool known = false;
+  for (const ServingSample& sample : over) {
+    worst = std::max(worst, RatioOf(sample));
+    target = std::max(target, ToMillis(sample.target));
+    for (const auto& [image, share] : filling) {
+      known = known || weights_.count({sample.image, image}) > 0;
+      const double part = WeightMillis(sample.image, image) * share;
+      blame[image] += part;
+      total += part;
+    }
+  }
+  const double keep = worst > 1 ? kKeepOver : kKeepNear;
+  const bool explained = total > kExplainsPart * target;
+  for (const auto& [image, share] : filling) {
+    const bool culprit = blame[image] >= kCulpritPart * total;
+    if (explained ? culprit : !known) CutImage(image, keep);
   }
-  if (worst > kCutAbove && now - changed_at_ >= kCutPause) {
-    // Further over the target, a deeper cut.
-    const double keep = worst > 1 ? 0.4 : 0.7;
-    percent_ = static_cast<int>(percent_ * keep);
-    if (percent_ < kLeastPercent) percent_ = 0;
-    changed_at_ = now;
-  } else if (worst < kGiveBelow && percent_ < 100 &&
-             now - changed_at_ >= kGivePause) {
-    percent_ = std::min(100, percent_ + kGiveStep);
-    changed_at_ = now;
+}
+
+void Pacer::Give(const std::vector<ServingSample>& serving,
+                 const FillingShares& filling) {
+  for (auto& [image, percent] : percents_) {
+    if (percent >= 100) continue;
+    const auto it = filling.find(image);
+    const double share = it == filling.end() ? 0 : it->second;
+    const double more = percent > 0 ? share * kGiveStep / percent : 0.02;
+    const bool harmless = std::all_of(
+        serving.begin(), serving.end(), [&](const ServingSample& sample) {
+          const double expected =
+              ToMillis(sample.tail) + WeightMillis(sample.image, image) * more;
+          return expected < kCutAbove * ToMillis(sample.target);
+        });
+    if (harmless) percent = std::min(100, percent + kGiveStep);
   }
-  return percent_;
 }
 
 }  // namespace beamhill
--- a/beamhill/executor/pacer.h
+++ b/beamhill/executor/pacer.h
@@ -1,15 +1,20 @@
-// How fast the filling tasks of one VM may work, so that the serving tasks
+// How fast each filling image of one VM may work, so that the serving tasks
 // beside them stay under their targets.
 //
-// Pure feedback on late measurements: cut quickly when a serving task nears
-// its target, wait for the effect to show, and give back step by step.
+// Pure feedback on late measurements, helped by what the owner has learned of
+// which image disturbs which: cut the culprits quickly when a serving task
+// nears its target, wait for the effect to show, and give back step by step.
+// Without such knowledge all fillers are cut.
 //
 //   Pacer pacer;
-//   int percent = pacer.Observe(samples, now);
+//   pacer.Observe(serving, filling, now);
+//   int percent = pacer.PercentOf("batch-7");
 #ifndef BEAMHILL_EXECUTOR_PACER_H_
 #define BEAMHILL_EXECUTOR_PACER_H_
 
-#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "beamhill/base/time.h"
@@ -17,20 +22,41 @@
 namespace beamhill {
 
 // One serving task's tail latency over the last half second.
-struct TailSample {
+struct ServingSample {
+  std::string image;
   Duration tail{};
   Duration target{};
 };
 
 class Pacer {
  public:
-  // The percentage at which fillers may work from now on.
-  int Observe(const std::vector<TailSample>& samples, TimePoint now);
-  int percent() const { return percent_; }
+  // Serving and filling image to what the filler would add to the tail if it
+  // had the whole VM.
+  using Weights = std::map<std::pair<std::string, std::string>, Duration>;
+  // Share of the VM's processors that each filling image uses now.
+  using FillingShares = std::map<std::string, double>;
+
+  void SetWeights(Weights weights) { weights_ = std::move(weights); }
+  void Observe(const std::vector<ServingSample>& serving,
+               const FillingShares& filling, TimePoint now);
+  // The percentage at which tasks of the image may work; 100 at first.
+  int PercentOf(const std::string& image) const;
 
  private:
-  int percent_ = 100;
-  TimePoint changed_at_{};
+  double WeightMillis(const std::string& serving,
+                      const std::string& filling) const;
+  void Cut(const std::vector<ServingSample>& over,
+           const FillingShares& filling);
+  void Give(const std::vector<ServingSample>& serving,
+            const FillingShares& filling);
+  void CutImage(const std::string& image, double keep);
+
+  Weights weights_;
+  std::map<std::string, int> percents_;
+  TimePoint over_since_{};
+  TimePoint cut_at_{};
+  TimePoint given_at_{};
+  bool over_ = false;
 };
 
 }  // namespace beamhill
--- a/beamhill/placement/interference_model.h
+++ b/beamhill/placement/interference_model.h
@@ -26,9 +26,15 @@
 // Share of a VM's processors that tasks of a class use on it.
 using ClassLoads = std::map<std::string, double>;
 
+// How firmly weights are held to zero, in observations of a whole VM's load.
+struct InterferencePriors {
+  double shared = 0.05;
+  double of_class = 0.5;
+};
+
 class InterferenceModel {
  public:
-  InterferenceModel();
+  explicit InterferenceModel(const InterferencePriors& priors = {});
   ~InterferenceModel();
 
   // The service's latency on a VM while these classes ran there.
--- /dev/null
+++ b/beamhill/placement/pairwise_interference.cc
@@ -0,0 +1,44 @@
+#include "beamhill/placement/pairwise_interference.h"
+
+namespace beamhill {
+namespace {
+
+// Observations of a serving image before its predictions count.
+constexpr size_t kEnoughSamples = 20;
+// A day has few images, and a wrong neighbour costs at once, so that weights
+// are learned from little: a pair seen for seconds at a tenth of a VM.
+constexpr InterferencePriors kPriors = {0.05, 0.03};
+
+}  // namespace
+
+PairwiseInterference::Learned::Learned() : model(kPriors) {}
+
+void PairwiseInterference::Observe(const std::string& serving,
+                                   const ClassLoads& fillers, Duration tail) {
+  Learned& learned = by_serving_[serving];
+  learned.model.Observe(fillers, tail);
+  for (const auto& [filler, share] : fillers) learned.fillers.insert(filler);
+}
+
+std::optional<Duration> PairwiseInterference::Predict(
+    const std::string& serving, const ClassLoads& fillers) const {
+  const auto it = by_serving_.find(serving);
+  if (it == by_serving_.end() || it->second.model.samples() < kEnoughSamples) {
+    return std::nullopt;
+  }
+  return it->second.model.Predict(fillers).mean;
+}
+
+std::vector<PairwiseInterference::Weight> PairwiseInterference::Weights()
+    const {
+  std::vector<Weight> weights;
+  for (const auto& [serving, learned] : by_serving_) {
+    if (learned.model.samples() < kEnoughSamples) continue;
+    for (const std::string& filler : learned.fillers) {
+      weights.push_back({serving, filler, learned.model.WeightOf(filler)});
+    }
+  }
+  return weights;
+}
+
+}  // namespace beamhill
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -11,6 +11,8 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(300);
+// What a peer said longer ago may no longer hold.
+constexpr Duration kFreshHeartbeat = std::chrono::milliseconds(800);
 constexpr Duration kQuestionTimeout = std::chrono::milliseconds(400);
 // An owner's link that is silent for so long is dialed anew.
 constexpr Duration kOwnerSilence = std::chrono::milliseconds(2500);
@@ -152,6 +154,7 @@
 void Scheduler::OnOwnerMessage(const DispatchMessage& message) {
   if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
     if (beat->epoch >= followed_.epoch) keeper_->OnOwnerHeard(beat->epoch);
+    if (!beat->store_answers) keeper_->OnOwnerCutOff();
     if (beat->incarnation != followed_.incarnation) {
       keeper_->OnOwnerGone(followed_.incarnation);
     }
@@ -199,6 +202,7 @@
   };
   if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
     peer.last = *beat;
+    peer.heard_at = BootClock::now();
     send(Heartbeat());
     ShareSettings(beat->settings_version, send);
   } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
@@ -330,7 +334,8 @@
 void Scheduler::HandOverIfCutOff() {
   if (!keeper_->owns() || keeper_->SinceConfirmed() < kCutOffAfter) return;
   for (auto& [link, peer] : peers_) {
-    if (!peer.last.store_answers) continue;
+    const bool fresh = BootClock::now() - peer.heard_at < kFreshHeartbeat;
+    if (!fresh || !peer.last.store_answers) continue;
     const uint64_t epoch = keeper_->epoch();
     Log(LogLevel::kWarning, "handing_over",
         {{"to", peer.last.name}, {"epoch", epoch}});
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -74,6 +74,7 @@
   struct Peer {
     Link* link = nullptr;
     SchedulerHeartbeat last;
+    TimePoint heard_at{};
   };
   struct OpenQuestion {
     std::function<void(std::optional<Answer>)> done;
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -12,6 +12,7 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 // Several messages that arrive together are decided on together.
 constexpr Duration kTickDelay = std::chrono::milliseconds(2);
+constexpr Duration kSummaryInterval = std::chrono::seconds(1);
 constexpr Duration kReloadPause = std::chrono::milliseconds(200);
 // A VM that has not been heard for so long is dialed anew.
 constexpr Duration kVmSilence = std::chrono::milliseconds(2500);
@@ -118,10 +119,27 @@
   OnVmRows(loading.found.at(rows::kVms));
   tick_ = loop_.Every(kTickInterval, [this] { Tick(); });
   scan_ = loop_.Every(options_.scan_interval, [this] { Scan(); });
+  summary_ = loop_.Every(kSummaryInterval, [this] { LogSummary(); });
   Scan();
   Tick();
 }
 
+void WorkOwner::LogSummary() {
+  dispatcher_->SendWeights();
+  Flush();
+  const DispatchSummary summary = dispatcher_->Summary();
+  Log(LogLevel::kInfo, "owner_summary",
+      {{"epoch", options_.epoch},
+       {"vms", summary.vms},
+       {"cpu", summary.capacity.cpu_millis},
+       {"cpu_used", summary.used.cpu_millis},
+       {"cpu_serving", summary.serving_cpu},
+       {"cpu_filling", summary.filling_cpu},
+       {"runs", summary.held_runs},
+       {"open_workflows", summary.open_workflows},
+       {"pressure_ms", summary.pressure}});
+}
+
 void WorkOwner::Scan() {
   if (!scanning_vms_) {
     scanning_vms_ = true;
@@ -233,6 +251,9 @@
     dispatcher_->OnStatus(vm, *status);
   } else if (const auto* reports = std::get_if<RunReports>(&message)) {
     dispatcher_->OnReports(vm, *reports, now);
+  } else if (const auto* pressure = std::get_if<VmPressure>(&message)) {
+    dispatcher_->OnPressure(vm, *pressure);
+    return;
   } else if (const auto* inventory = std::get_if<VmInventory>(&message)) {
     if (!dispatcher_->OnInventory(vm, *inventory, now)) {
       Log(LogLevel::kInfo, "inventory_with_unknown_work", {{"vm", vm}});
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -89,6 +89,7 @@
   void Flush();
   void MaybeCommit();
   void OnCommitted(bool committed, TimePoint sent_at);
+  void LogSummary();
   std::vector<RowWrite> WritesOf(const DispatchCommit& commit);
 
   EventLoop& loop_;
@@ -112,6 +113,7 @@
   bool tick_pending_ = false;
   Timer tick_;
   Timer scan_;
+  Timer summary_;
   Timer reload_;
   Lifetime lifetime_;
 };
