Let go of what a lost runner held; count failures heard in any order

Ruled out: a missing inventory after the runner's new life (it came, and the room was freed), a lease that did not run out.

Change: the run is passed by value; failed runs are kept as a list. After a failed transaction the next waits 150 ms.

--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -259,7 +259,7 @@
   health_.ForgetJob(job.progress.workflow().id);
 }
 
-void Dispatcher::LetGo(const std::string& name, Vm& vm, const RunRef& run,
+void Dispatcher::LetGo(const std::string& name, Vm& vm, RunRef run,
                        RunEndKind kind) {
   Release(vm, run);
   ++counts_.lapsed;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -215,8 +215,8 @@
   void Release(Vm& vm, const RunRef& run);
   void Stop(const std::string& name, Vm& vm, const RunRef& run);
   void StopAllOf(Job& job);
-  void LetGo(const std::string& name, Vm& vm, const RunRef& run,
-             RunEndKind kind);
+  // Takes the run by value: it may lie in the table that it is erased from.
+  void LetGo(const std::string& name, Vm& vm, RunRef run, RunEndKind kind);
   void LetGoAll(const std::string& name, Vm& vm);
   void ApplyEnd(const std::string& name, Vm& vm, const RunEnd& end,
                 TimePoint now);
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -16,6 +16,7 @@
 constexpr Duration kReloadPause = std::chrono::milliseconds(200);
 // A VM that has not been heard for so long is dialed anew.
 constexpr Duration kVmSilence = std::chrono::milliseconds(2500);
+constexpr Duration kCommitRetry = std::chrono::milliseconds(150);
 constexpr Duration kReattachPause = std::chrono::milliseconds(300);
 
 UnixMillis UnixNow() {
@@ -360,13 +361,13 @@
 void WorkOwner::MaybeCommit() {
   const TimePoint now = BootClock::now();
   if (keeper_.committing() || !keeper_.MayAct()) return;
-  if (now - last_commit_ < options_.commit_interval && !quiet_) return;
+  if (now < commit_after_ && !quiet_) return;
   const auto commit = dispatcher_->TakeCommit(now);
   if (!commit) {
     if (quiet_ && on_quiet_) std::exchange(on_quiet_, nullptr)();
     return;
   }
-  last_commit_ = now;
+  commit_after_ = now + options_.commit_interval;
   keeper_.Commit(WritesOf(*commit),
                  lifetime_.Guard([this, now](bool committed) {
                    OnCommitted(committed, now);
@@ -381,6 +382,7 @@
   } else {
     Log(LogLevel::kWarning, "commit_failed", {{"epoch", options_.epoch}});
     dispatcher_->OnCommitFailed();
+    commit_after_ = now + kCommitRetry;
   }
   Flush();
   TickSoon();
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -107,7 +107,7 @@
   bool scanning_arrivals_ = false;
   bool quiet_ = false;
   std::function<void()> on_quiet_;
-  TimePoint last_commit_{};
+  TimePoint commit_after_{};
   uint64_t starts_counted_ = 0;
   Timer tick_soon_;
   bool tick_pending_ = false;
--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -69,9 +69,8 @@
     for (const StepRecord::Failures& failed : stored.failures) {
       if (failed.index >= tasks.size()) continue;
       Task& task = tasks[failed.index];
-      task.failures = failed.count;
-      task.last_failed_run = failed.last_run;
-      task.run = std::max(task.run, failed.last_run);
+      task.failed_runs = failed.runs;
+      for (const uint64_t run : failed.runs) task.run = std::max(task.run, run);
     }
   }
   begun_ = record.state != WorkflowState::kQueued;
@@ -93,9 +92,8 @@
       stored.step = step;
       const std::vector<Task>& tasks = TasksOf(round, step);
       for (uint32_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].failures > 0) {
-          stored.failures.push_back(
-              {i, tasks[i].failures, tasks[i].last_failed_run});
+        if (!tasks[i].failed_runs.empty()) {
+          stored.failures.push_back({i, tasks[i].failed_runs});
         }
         if (tasks[i].phase != Phase::kDone) continue;
         if (!stored.done_ranges.empty() && stored.done_ranges.back() == i) {
@@ -194,16 +192,17 @@
 
 bool WorkflowProgress::CountFailure(const TaskRef& ref, uint64_t run) {
   const WorkflowStep& step = workflow_.steps[ref.step];
-  Task& task = At(ref);
-  if (step.long_running || run <= task.last_failed_run) return false;
-  task.last_failed_run = run;
-  ++task.failures;
-  uint32_t failures = task.failures;
+  std::vector<uint64_t>& failed = At(ref).failed_runs;
+  const bool counted =
+      std::find(failed.begin(), failed.end(), run) != failed.end();
+  if (step.long_running || counted) return false;
+  failed.push_back(run);
+  size_t failures = failed.size();
   if (step.gang) {
     // A gang fails as a whole, whichever member it was.
     failures = 0;
     for (const Task& member : TasksOf(ref.round, ref.step)) {
-      failures += member.failures;
+      failures += member.failed_runs.size();
     }
   }
   if (failures >= workflow_.policy.max_attempts) {
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -46,14 +46,15 @@
   uint32_t round = 0;
   uint32_t step = 0;
   std::vector<uint32_t> done_ranges;  // begin, end, begin, end, ...
+  // Ends are heard of in any order and more than once, so it takes the runs
+  // themselves to count them.
   struct Failures {
     uint32_t index = 0;
-    uint32_t count = 0;
-    uint64_t last_run = 0;  // Tells an end that is reported twice.
+    std::vector<uint64_t> runs;
 
     template <typename S>
     static auto Fields(S& s) {
-      return std::tie(s.index, s.count, s.last_run);
+      return std::tie(s.index, s.runs);
     }
   };
   std::vector<Failures> failures;
@@ -82,8 +83,7 @@
   struct Task {
     Phase phase = Phase::kWaiting;
     uint64_t run = 0;       // The highest run that is known of.
-    uint32_t failures = 0;  // Runs that ended by failing.
-    uint64_t last_failed_run = 0;
+    std::vector<uint64_t> failed_runs;
     std::string vm;         // Where the task is held.
     std::string failed_on;  // The VM where it failed last.
     std::string checkpoint;
