Say refused only of what no way has stored; let submissions share transactions

The store was slow (45 times) and one part takes its transactions one after another, so that one for each submission overran it (429, 'too many calls on this part').

Change: a refusal after an unknown outcome stays unknown (504). Submissions that come while two transactions are open share the next one.

--- a/beamhill/scheduler/job_desk.cc
+++ b/beamhill/scheduler/job_desk.cc
@@ -1,8 +1,20 @@
 #include "beamhill/scheduler/job_desk.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace beamhill {
+namespace {
+
+// Transactions of submissions that may be open at a time; on a quick table
+// one is rarely open when the next comes.
+constexpr int kMaxOpen = 2;
+// Each workflow takes two of a transaction's 100 entries and up to some
+// kilobytes of its megabyte.
+constexpr size_t kMaxBatch = 40;
+
+}  // namespace
+
 namespace rows {
 
 std::string NewMarker(const std::string& workflow) {
@@ -17,27 +29,62 @@
 
 void JobDesk::Submit(const Workflow& workflow,
                      std::function<void(SubmitResult)> done) {
+  waiting_.push_back({workflow, std::move(done)});
+  SendWaiting();
+}
+
+void JobDesk::SendWaiting() {
+  while (!waiting_.empty() && open_ < kMaxOpen) {
+    const size_t size = std::min(waiting_.size(), kMaxBatch);
+    const auto end = waiting_.begin() + static_cast<std::ptrdiff_t>(size);
+    std::vector<Submission> batch(waiting_.begin(), end);
+    waiting_.erase(waiting_.begin(), end);
+    Send(std::move(batch));
+  }
+}
+
+void JobDesk::Send(std::vector<Submission> batch) {
   Transaction transaction;
-  transaction.writes.push_back(
-      {rows::kWorkflows + workflow.id, 0, EncodeRecord(workflow)});
-  transaction.writes.push_back({rows::NewMarker(workflow.id), kAnyVersion, ""});
-  table_.commit(std::move(transaction),
-                lifetime_.Guard([done](CommitAnswer answer) {
-                  switch (answer.result) {
-                    case CommitResult::kCommitted:
-                      done(SubmitResult::kAccepted);
-                      return;
-                    case CommitResult::kConflict:
-                      done(SubmitResult::kAlreadyStored);
-                      return;
-                    case CommitResult::kNotApplied:
-                      done(SubmitResult::kRefused);
-                      return;
-                    case CommitResult::kUnknown:
-                      done(SubmitResult::kUnknown);
-                      return;
-                  }
-                }));
+  for (const Submission& submission : batch) {
+    const Workflow& workflow = submission.workflow;
+    transaction.writes.push_back(
+        {rows::kWorkflows + workflow.id, 0, EncodeRecord(workflow)});
+    transaction.writes.push_back(
+        {rows::NewMarker(workflow.id), kAnyVersion, ""});
+  }
+  ++open_;
+  table_.commit(
+      std::move(transaction),
+      lifetime_.Guard([this, batch = std::move(batch)](CommitAnswer answer) {
+        --open_;
+        OnSent(batch, answer.result);
+        SendWaiting();
+      }));
+}
+
+void JobDesk::OnSent(const std::vector<Submission>& batch,
+                     CommitResult result) {
+  if (result == CommitResult::kConflict && batch.size() > 1) {
+    // One of them is there already; each by itself tells which.
+    for (const Submission& submission : batch) Send({submission});
+    return;
+  }
+  for (const Submission& submission : batch) {
+    switch (result) {
+      case CommitResult::kCommitted:
+        submission.done(SubmitResult::kAccepted);
+        break;
+      case CommitResult::kConflict:
+        submission.done(SubmitResult::kAlreadyStored);
+        break;
+      case CommitResult::kNotApplied:
+        submission.done(SubmitResult::kRefused);
+        break;
+      case CommitResult::kUnknown:
+        submission.done(SubmitResult::kUnknown);
+        break;
+    }
+  }
 }
 
 void JobDesk::Cancel(const std::string& workflow,
--- a/beamhill/scheduler/job_desk.h
+++ b/beamhill/scheduler/job_desk.h
@@ -4,6 +4,9 @@
 // A workflow is stored before it is accepted. A marker beside it tells the
 // owner of it should the direct notice be lost.
 //
+// Submissions that come while transactions are open share the next one, so
+// that a slow table gets fewer of them.
+//
 //   JobDesk desk(table);
 //   desk.Submit(workflow, [](SubmitResult result) { ... });
 #ifndef BEAMHILL_SCHEDULER_JOB_DESK_H_
@@ -66,7 +69,18 @@
                 done);
 
  private:
+  struct Submission {
+    Workflow workflow;
+    std::function<void(SubmitResult)> done;
+  };
+
+  void SendWaiting();
+  void Send(std::vector<Submission> batch);
+  void OnSent(const std::vector<Submission>& batch, CommitResult result);
+
   Table table_;
+  std::vector<Submission> waiting_;
+  int open_ = 0;
   Lifetime lifetime_;
 };
 
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -326,20 +326,30 @@
   return owner_peer_ && owner_peer_->is_open() && owner_store_answers_;
 }
 
+// Whether a call was stored, after it was tried here and then by the owner.
+// Only two refusals make a refusal.
+SubmitResult Scheduler::AfterRelay(SubmitResult here,
+                                   std::optional<uint8_t> relayed) {
+  if (!relayed) return SubmitResult::kUnknown;
+  const auto there = static_cast<SubmitResult>(*relayed);
+  const bool unsure = here == SubmitResult::kUnknown;
+  return there == SubmitResult::kRefused && unsure ? here : there;
+}
+
 // Either way of storing a submission or a cancellation may be tried after the
 // other whatever became of it: both change nothing the second time.
 void Scheduler::Submit(Workflow workflow,
                        std::function<void(SubmitResult)> done) {
   workflow.offered_to = keeper_->epoch();
-  const auto relay = [this, workflow](SubmitResult otherwise, auto answered) {
+  const auto relay = [this, workflow, done](SubmitResult here) {
     const uint64_t id = next_call_++;
     Relay(id, RelayedSubmit{id, workflow},
-          [otherwise, answered](std::optional<uint8_t> result) {
-            answered(result ? static_cast<SubmitResult>(*result) : otherwise);
+          [here, done](std::optional<uint8_t> result) {
+            done(AfterRelay(here, result));
           });
   };
   if (!hooks_.store_answers() && CanRelay()) {
-    relay(SubmitResult::kUnknown, done);
+    relay(SubmitResult::kRefused);
     return;
   }
   SubmitHere(workflow, [this, relay, done](SubmitResult result) {
@@ -347,32 +357,32 @@
                         result == SubmitResult::kAlreadyStored;
     if (stored || !CanRelay()) {
       done(result);
-      return;
+    } else {
+      relay(result);
     }
-    relay(SubmitResult::kUnknown, done);
   });
 }
 
 void Scheduler::Cancel(const std::string& workflow,
                        std::function<void(CancelResult)> done) {
-  const auto relay = [this, workflow](auto answered) {
+  const auto relay = [this, workflow, done] {
     const uint64_t id = next_call_++;
     Relay(id, RelayedCancel{id, workflow},
-          [answered](std::optional<uint8_t> result) {
-            answered(result ? static_cast<CancelResult>(*result)
-                            : CancelResult::kUnknown);
+          [done](std::optional<uint8_t> result) {
+            done(result ? static_cast<CancelResult>(*result)
+                        : CancelResult::kUnknown);
           });
   };
   if (!hooks_.store_answers() && CanRelay()) {
-    relay(done);
+    relay();
     return;
   }
   CancelHere(workflow, [this, relay, done](CancelResult result) {
     if (result != CancelResult::kUnknown || !CanRelay()) {
       done(result);
-      return;
+    } else {
+      relay();
     }
-    relay(done);
   });
 }
 
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -61,6 +61,10 @@
               std::function<void(CancelResult)> done);
   void StateOf(const std::string& workflow,
                std::function<void(StateResult)> done);
+  // What a submission came to that was tried here and then relayed; nothing
+  // when the relay had no answer.
+  static SubmitResult AfterRelay(SubmitResult here,
+                                 std::optional<uint8_t> relayed);
   // Empty when the owner can't be asked.
   void WaitingIn(const std::string& queue,
                  std::function<void(std::optional<uint64_t>)> done);
