--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -117,10 +117,11 @@
 struct FillingLoad {
   std::string image;
   int64_t cpu_millis = 0;
+  int32_t percent = 100;  // The pace that its tasks are held to.
 
   template <typename S>
   static auto Fields(S& s) {
-    return std::tie(s.image, s.cpu_millis);
+    return std::tie(s.image, s.cpu_millis, s.percent);
   }
 };
 
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -14,12 +14,6 @@
 // A VM gets no starts when its lease has less than this left: the start
 // would be refused, or cut short at once.
 constexpr Duration kLeastLease = std::chrono::milliseconds(800);
-// Share of what serving tasks ask for that they use on average; what they
-// leave is taken by tasks that fill. From the workloads' sheets.
-constexpr double kServingUse = 0.55;
-// A filler that brings a serving image above this part of its target is
-// kept away, or paced once there; so such a place comes last.
-constexpr double kHarmfulRatio = 0.85;
 constexpr double kHarmCost = 5;
 // What it costs to bring a serving image to a VM where nothing serves, and to
 // one where only others do; against differences in load of at most 1.
@@ -96,7 +90,7 @@
       continue;
     }
     std::string name;
-    Vm* vm = Choose(job, step, open, task.failed_on, now, &name);
+    Vm* vm = Choose(job, step, open, task.avoid_vm, now, &name);
     if (vm == nullptr) return;
     StartOn(name, *vm, job, {workflow.id, open.round, open.step, i},
             NextRun(task), now);
@@ -157,37 +151,10 @@
   Resources need = step.each;
   if (step.fills) need.cpu_millis = 0;
   if (!(status.capacity - vm.used).Holds(need)) return false;
-  if (step.fills) {
-    const double left =
-        static_cast<double>(status.capacity.cpu_millis -
-                            (vm.used.cpu_millis - vm.serving_cpu) -
-                            vm.filling_cpu) -
-        kServingUse * static_cast<double>(vm.serving_cpu);
-    if (left < static_cast<double>(step.each.cpu_millis)) return false;
-  }
+  if (step.fills && !HasRoomToFill(vm, job, step, now)) return false;
   return health_.MayPlace(name, vm.held.size(), now);
 }
 
-// The worst tail over its target, by what was learned, if the filler came
-// here and worked at full speed; 0 where nothing serves or is known.
-double Dispatcher::WorstTailRatio(const Vm& vm,
-                                  const WorkflowStep& filler) const {
-  const auto whole =
-      static_cast<double>(std::max<int64_t>(vm.status.capacity.cpu_millis, 1));
-  ClassLoads loads;
-  for (const auto& [image, cpu] : vm.filling) {
-    loads[image] = static_cast<double>(cpu) / whole;
-  }
-  loads[filler.image] += static_cast<double>(filler.each.cpu_millis) / whole;
-  double worst = 0;
-  for (const auto& [image, serving] : vm.serving) {
-    const auto tail = interference_.Predict(image, loads);
-    if (!tail) continue;
-    worst = std::max(worst, ToMillis(*tail) / ToMillis(serving.tail_target));
-  }
-  return worst;
-}
-
 // Lower is better. What fills goes where most processor time is left over
 // and least harm is expected; what serves gathers on few VMs, beside its like
 // if it can, so that fillers find VMs where they disturb nothing; the rest
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -209,31 +209,6 @@
   vm.held.erase(it);
 }
 
-void Dispatcher::OnPressure(const std::string& vm, const VmPressure& pressure) {
-  const Vm& state = vms_[vm];
-  const int64_t whole = state.status.capacity.cpu_millis;
-  if (pressure.epoch != options_.epoch || whole <= 0) return;
-  ClassLoads loads;
-  for (const FillingLoad& load : pressure.filling) {
-    loads[load.image] =
-        static_cast<double>(load.cpu_millis) / static_cast<double>(whole);
-  }
-  for (const ServingTail& serving : pressure.serving) {
-    interference_.Observe(serving.image, loads, serving.tail);
-  }
-}
-
-void Dispatcher::SendWeights() {
-  PressureWeights learned{options_.epoch, {}};
-  for (const auto& weight : interference_.Weights()) {
-    learned.weights.push_back({weight.serving, weight.filler, weight.per_vm});
-  }
-  if (learned.weights.empty()) return;
-  for (const auto& [name, vm] : vms_) {
-    if (vm.answered && !vm.serving.empty()) Send(name, learned);
-  }
-}
-
 void Dispatcher::Stop(const std::string& name, Vm& vm, const RunRef& run) {
   const auto it = vm.held.find(run);
   if (it != vm.held.end()) {
@@ -381,7 +356,7 @@
     ++(failed ? counts_.failed : counts_.done);
     health_.OnEnded(name, run.task.workflow, failed, now);
     if (failed) {
-      task.failed_on = name;
+      task.avoid_vm = name;
       if (!job->progress.workflow().steps[run.task.step].long_running) {
         task.not_before = now + kRetryPause;
       }
@@ -450,7 +425,9 @@
 
 void Dispatcher::Tick(TimePoint now, UnixMillis unix_now) {
   ExpireLeases(now);
-  if (may_act_) StartWaiting(now, unix_now);
+  if (!may_act_) return;
+  MoveStarved(now);
+  StartWaiting(now, unix_now);
 }
 
 std::vector<VmMessage> Dispatcher::TakeMessages() {
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -89,6 +89,7 @@
   uint64_t lapsed = 0;
   uint64_t adopted = 0;
   uint64_t stray_stops = 0;
+  uint64_t moved = 0;
 };
 
 class Dispatcher {
@@ -126,7 +127,8 @@
   bool OnInventory(const std::string& vm, const VmInventory& inventory,
                    TimePoint now);
   // Teaches which filling image disturbs which serving one.
-  void OnPressure(const std::string& vm, const VmPressure& pressure);
+  void OnPressure(const std::string& vm, const VmPressure& pressure,
+                  TimePoint now);
   void OnReports(const std::string& vm, const RunReports& reports,
                  TimePoint now);
 
@@ -155,6 +157,13 @@
   std::string Dump(TimePoint now) const;
 
  private:
+  // A filler that is expected to bring a serving image above this part of its
+  // target is kept away, or paced once there; so such a place comes last.
+  static constexpr double kHarmfulRatio = 0.85;
+  // Share of what serving tasks ask for that they use on average; what they
+  // leave is taken by tasks that fill. From the workloads' sheets.
+  static constexpr double kServingUse = 0.55;
+
   struct Job {
     explicit Job(const Workflow& workflow) : progress(workflow) {}
 
@@ -192,7 +201,9 @@
     int64_t filling_cpu = 0;  // Asked for by what fills.
     int64_t serving_cpu = 0;  // Part of `used` that serves.
     std::map<std::string, ServingImage> serving;
-    std::map<std::string, int64_t> filling;  // By image, as asked for.
+    std::map<std::string, int64_t> filling;          // By image, as asked for.
+    std::map<std::string, int32_t> paces;            // By filling image.
+    std::map<std::string, TimePoint> starved_since;  // Images paced low.
     uint64_t processed = 0;  // Highest end taken in, of this life.
     uint64_t settled = 0;    // Highest end reported as durable.
   };
@@ -230,6 +241,13 @@
   void ExpireLeases(TimePoint now);
   void Settle(const std::map<std::string, std::pair<std::string, uint64_t>>&);
 
+  // In dispatch_pressure.cc.
+  void MoveStarved(TimePoint now);
+  int MoveStarvedOf(const std::string& name, Vm& vm, const std::string& image,
+                    TimePoint now);
+  bool HasCalmPlace(const std::string& except, const Job& job,
+                    const WorkflowStep& step, TimePoint now) const;
+
   // In dispatch_placement.cc.
   void StartWaiting(TimePoint now, UnixMillis unix_now);
   std::vector<OpenStepRef> ByUrgency(TimePoint now, UnixMillis unix_now);
@@ -244,6 +262,8 @@
             const WorkflowStep& step, TimePoint now) const;
   double Cost(const Vm& vm, const WorkflowStep& step) const;
   double WorstTailRatio(const Vm& vm, const WorkflowStep& filler) const;
+  bool HasRoomToFill(const Vm& vm, const Job& job, const WorkflowStep& filler,
+                     TimePoint now) const;
   void StartOn(const std::string& name, Vm& vm, Job& job, const TaskRef& ref,
                uint64_t run, TimePoint now);
   uint64_t NextRun(const WorkflowProgress::Task& task) const;
@@ -253,6 +273,7 @@
   DecisionHook on_decision_;
   TimePoint taken_at_;
   bool may_act_ = true;
+  TimePoint moved_at_{};
 
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, Vm> vms_;
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -409,7 +409,9 @@
       const Duration tail =
           vm == calm_vm ? milliseconds(6) : milliseconds(6 + cpu / 100);
       dispatcher_->OnPressure(
-          vm, {2, {{vm == calm_vm ? "calm" : "touchy", tail}}, {{"f", cpu}}});
+          vm,
+          {2, {{vm == calm_vm ? "calm" : "touchy", tail}}, {{"f", cpu, 100}}},
+          now_);
     }
   }
   Workflow filling = OneStep("f", 1, 2);
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -466,7 +466,8 @@
   }
   for (const auto& [image, share] : filling) {
     const double cpu = share * static_cast<double>(status_.capacity.cpu_millis);
-    pressure.filling.push_back({image, static_cast<int64_t>(cpu)});
+    pressure.filling.push_back(
+        {image, static_cast<int64_t>(cpu), pacer_.PercentOf(image)});
   }
   SendToOwner(pressure);
 }
--- a/beamhill/http/http_client.cc
+++ b/beamhill/http/http_client.cc
@@ -164,7 +164,9 @@
       evhttp_request_set_chunked_cb(pending->raw, &OnChunk);
     }
     evkeyvalq* headers = evhttp_request_get_output_headers(pending->raw);
-    const std::string host = server.ip + ":" + std::to_string(server.port);
+    const std::string host = call.host.empty()
+                                 ? server.ip + ":" + std::to_string(server.port)
+                                 : call.host;
     evhttp_add_header(headers, "Host", host.c_str());
     http_internal::AddHeaders(headers, call.headers);
     evbuffer_add(evhttp_request_get_output_buffer(pending->raw),
--- a/beamhill/http/http_client.h
+++ b/beamhill/http/http_client.h
@@ -31,6 +31,8 @@
   std::string target;  // Path with query, already encoded.
   HttpHeaders headers;
   std::string body;
+  // Of the Host header; empty for the server's address.
+  std::string host = {};
 };
 
 enum class HttpDelivery {
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -82,10 +82,10 @@
   enum class Phase : uint8_t { kWaiting, kHeld, kDone };
   struct Task {
     Phase phase = Phase::kWaiting;
-    uint64_t run = 0;       // The highest run that is known of.
+    uint64_t run = 0;  // The highest run that is known of.
     std::vector<uint64_t> failed_runs;
-    std::string vm;         // Where the task is held.
-    std::string failed_on;  // The VM where it failed last.
+    std::string vm;        // Where the task is held.
+    std::string avoid_vm;  // Where it failed or starved last.
     std::string checkpoint;
     TimePoint held_since{};
     TimePoint not_before{};  // Back-off after a refusal or a failure.
