Judge lateness by what remains; the least work goes first

Cause: a job counted as late once its whole declared chain no longer fitted, so each job lost its turn halfway to new ones.

Change: what remains of the chain and of the work decides; among jobs on time the one with the least work goes first. Rounds with due times count from these.

--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -19,6 +19,8 @@
 // one where only others do; against differences in load of at most 1.
 constexpr double kNewToServing = 3;
 constexpr double kMixing = 0.4;
+// What ends later than this many times its objective earns nothing.
+constexpr int kLateFactor = 3;
 // Runs of an owner are numbered from its epoch times this, so that they are
 // above those of earlier owners without any record of them.
 constexpr uint64_t kRunsPerEpoch = 1000;
@@ -30,25 +32,35 @@
   return std::max(task.run + 1, first);
 }
 
+// When a round's objective ends. A round with a due time counts from there.
+TimePoint Dispatcher::DueOf(const Job& job, uint32_t round, TimePoint now,
+                            UnixMillis unix_now) {
+  const Workflow& workflow = job.progress.workflow();
+  if (workflow.repetitions == 0) return job.due;
+  const UnixMillis began = workflow.first_due + round * workflow.interval;
+  return now + (began - unix_now) + job.allowed;
+}
+
 // On time first, then late, then what earns nothing any more; within these by
-// the queue's priority and the time that is left.
+// the queue's priority and then the least work: what is worth most for the
+// processor time that it takes, and soonest out of the way.
 std::vector<Dispatcher::OpenStepRef> Dispatcher::ByUrgency(
     TimePoint now, UnixMillis unix_now) {
-  using Rank = std::tuple<int, int32_t, TimePoint>;
+  using Rank = std::tuple<int, int32_t, double, TimePoint>;
   std::vector<std::pair<Rank, OpenStepRef>> ranked;
   for (const auto& [id, job] : jobs_) {
     if (!job->opened || job->progress.over()) continue;
     if (job->inherited && !unaccounted_.empty()) continue;
     const Workflow& workflow = job->progress.workflow();
-    int lateness = 0;
-    if (now + job->chain > job->late_until) {
-      lateness = 2;
-    } else if (now + job->chain > job->due) {
-      lateness = 1;
-    }
     for (const auto& open : job->progress.OpenSteps(unix_now)) {
+      const TimePoint due = DueOf(*job, open.round, now, unix_now);
+      const TimePoint end = now + job->progress.RemainingChain(open.round, now);
+      int lateness = 0;
+      if (end > due) lateness = 1;
+      if (end > due + (kLateFactor - 1) * job->allowed) lateness = 2;
       if (workflow.steps[open.step].long_running) lateness = 0;
-      ranked.push_back({Rank{lateness, workflow.policy.priority, job->due},
+      const double work = job->progress.RemainingWork(open.round);
+      ranked.push_back({Rank{lateness, workflow.policy.priority, work, due},
                         {job.get(), open}});
     }
   }
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -16,8 +16,6 @@
 constexpr Duration kRetryPause = std::chrono::milliseconds(60);
 // A VM that refused a start for want of room gets none for so long.
 constexpr Duration kNoRoomPause = std::chrono::milliseconds(250);
-// What ends later than this many times its objective earns nothing.
-constexpr int kLateFactor = 3;
 
 }  // namespace
 
@@ -71,12 +69,10 @@
              : workflow.offered_to;
   job->opened = last_opener == options_.epoch;
   job->inherited = !job->opened && last_opener != 0;
-  job->chain = DeclaredChain(workflow);
-  const auto allowed = std::chrono::duration_cast<Duration>(
-                           job->chain * workflow.policy.stretch) +
-                       workflow.policy.target_latency;
-  job->due = now + allowed;
-  job->late_until = now + kLateFactor * allowed;
+  job->allowed = std::chrono::duration_cast<Duration>(DeclaredChain(workflow) *
+                                                      workflow.policy.stretch) +
+                 workflow.policy.target_latency;
+  job->due = now + job->allowed;
   if (record) {
     job->progress.Restore(*record);
     job->stored_state = record->state;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -170,8 +170,7 @@
     WorkflowProgress progress;
     WorkflowState stored_state = WorkflowState::kQueued;
     TimePoint due{};         // When the objective ends.
-    TimePoint late_until{};  // When even a late end earns nothing.
-    Duration chain{};
+    Duration allowed{};      // The objective, from its beginning.
     bool opened = false;     // Stored under this epoch: tasks may start.
     bool inherited = false;  // An earlier owner may have started tasks.
     bool dirty = false;
@@ -250,6 +249,8 @@
 
   // In dispatch_placement.cc.
   void StartWaiting(TimePoint now, UnixMillis unix_now);
+  static TimePoint DueOf(const Job& job, uint32_t round, TimePoint now,
+                         UnixMillis unix_now);
   std::vector<OpenStepRef> ByUrgency(TimePoint now, UnixMillis unix_now);
   void StartStep(Job& job, const WorkflowProgress::OpenStep& open,
                  TimePoint now);
--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -132,6 +132,46 @@
   return open;
 }
 
+Duration WorkflowProgress::RemainingOf(uint32_t round, uint32_t step,
+                                       TimePoint now) const {
+  if (StepDone(round, step)) return {};
+  const Duration declared = workflow_.steps[step].declared_run;
+  Duration longest{};
+  for (const Task& task : TasksOf(round, step)) {
+    if (task.phase == Phase::kDone) continue;
+    const Duration ran =
+        task.phase == Phase::kHeld ? now - task.held_since : Duration(0);
+    longest = std::max(longest, declared - ran);
+  }
+  return longest;
+}
+
+Duration WorkflowProgress::RemainingChain(uint32_t round, TimePoint now) const {
+  std::vector<Duration> ends(workflow_.steps.size());
+  Duration longest{};
+  for (uint32_t step = 0; step < workflow_.steps.size(); ++step) {
+    Duration begin{};
+    for (const uint32_t earlier : workflow_.steps[step].after) {
+      begin = std::max(begin, ends[earlier]);
+    }
+    ends[step] = begin + RemainingOf(round, step, now);
+    longest = std::max(longest, ends[step]);
+  }
+  return longest;
+}
+
+double WorkflowProgress::RemainingWork(uint32_t round) const {
+  constexpr double kMillisOfCore = 1000;
+  double work = 0;
+  for (uint32_t step = 0; step < workflow_.steps.size(); ++step) {
+    const WorkflowStep& spec = workflow_.steps[step];
+    const std::chrono::duration<double> each = spec.declared_run;
+    work += undone_[Slot(round, step)] * each.count() *
+            static_cast<double>(spec.each.cpu_millis) / kMillisOfCore;
+  }
+  return work;
+}
+
 bool WorkflowProgress::HasLaterRound(UnixMillis now) const {
   if (workflow_.repetitions == 0 || over()) return false;
   return workflow_.first_due + (workflow_.rounds() - 1) * workflow_.interval >
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -110,6 +110,12 @@
     uint32_t step = 0;
   };
   std::vector<OpenStep> OpenSteps(UnixMillis now) const;
+  // The time that the longest chain of what is not done takes by the declared
+  // run times; a task that runs counts for what is left of its own.
+  Duration RemainingChain(uint32_t round, TimePoint now) const;
+  // The declared processor time of a round's tasks that are not done, in
+  // core-seconds.
+  double RemainingWork(uint32_t round) const;
   // Whether a round that is not yet due remains.
   bool HasLaterRound(UnixMillis now) const;
 
@@ -132,6 +138,7 @@
   size_t Slot(uint32_t round, uint32_t step) const {
     return round * workflow_.steps.size() + step;
   }
+  Duration RemainingOf(uint32_t round, uint32_t step, TimePoint now) const;
   void Settle();
   void MarkDone(const TaskRef& ref, Task& task);
   bool CountFailure(const TaskRef& ref, uint64_t run);
