Take only the runner's own word as a sign of its life

Ruled out: a lease that the owner does not let lapse (it lapsed 5 s after the last heartbeat).

Change: such calls have a verdict of their own; they renew nothing, and the VM gets no starts for 1.5 s. The test failed before.

--- a/beamhill/dispatch/dispatch_messages.cc
+++ b/beamhill/dispatch/dispatch_messages.cc
@@ -64,6 +64,8 @@
       return "not_allowed";
     case NotBegunReason::kUnhealthy:
       return "unhealthy";
+    case NotBegunReason::kUnreachable:
+      return "unreachable";
   }
   return "unhealthy";
 }
--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -241,12 +241,13 @@
 };
 
 enum class NotBegunReason : uint8_t {
-  kStopped,     // A stop made sure that it never begins.
-  kNoRoom,      // The runner holds too much already.
-  kFenced,      // The runner has seen a later epoch.
-  kOutdated,    // The run or its lease end is too old.
-  kNotAllowed,  // The VM may not run the step.
-  kUnhealthy,   // The runner turned it away, or is gone.
+  kStopped,      // A stop made sure that it never begins.
+  kNoRoom,       // The runner holds too much already.
+  kFenced,       // The runner has seen a later epoch.
+  kOutdated,     // The run or its lease end is too old.
+  kNotAllowed,   // The VM may not run the step.
+  kUnhealthy,    // The runner turned it away, or another life answers.
+  kUnreachable,  // Nobody answers where the runner was.
 };
 std::string_view NotBegunReasonName(NotBegunReason reason);
 
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -16,6 +16,9 @@
 constexpr Duration kRetryPause = std::chrono::milliseconds(60);
 // A VM that refused a start for want of room gets none for so long.
 constexpr Duration kNoRoomPause = std::chrono::milliseconds(250);
+// A VM whose runner nobody answers for; its lease ends meanwhile, or its next
+// life registers.
+constexpr Duration kUnreachablePause = std::chrono::milliseconds(1500);
 
 }  // namespace
 
@@ -382,7 +385,9 @@
   if (job == nullptr) return;
   job->progress.OnEnded(run.task, run.run, RunEndKind::kNotBegun, "");
   job->progress.At(run.task).not_before = now + kRetryPause;
-  if (refused.reason != NotBegunReason::kStopped) {
+  if (refused.reason == NotBegunReason::kUnreachable) {
+    vm.not_before = now + kUnreachablePause;
+  } else if (refused.reason != NotBegunReason::kStopped) {
     vm.not_before = now + kNoRoomPause;
   }
   Decide(run.task.workflow, "run_not_begun",
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -38,11 +38,19 @@
       return NotBegunReason::kNoRoom;
     case RunnerVerdict::kNotAllowed:
       return NotBegunReason::kNotAllowed;
+    case RunnerVerdict::kUnreachable:
+      return NotBegunReason::kUnreachable;
     default:
       return NotBegunReason::kUnhealthy;
   }
 }
 
+// Whether the runner itself has spoken.
+bool Spoke(RunnerVerdict verdict) {
+  return verdict != RunnerVerdict::kNoAnswer &&
+         verdict != RunnerVerdict::kUnreachable;
+}
+
 bool SameStatus(const VmStatus& a, const VmStatus& b) {
   return a.life == b.life && a.service == b.service && a.hall == b.hall &&
          a.labels == b.labels && a.capacity == b.capacity &&
@@ -209,7 +217,7 @@
   if (it == orders_.end()) return;
   Order& order = it->second;
   order.call_open = false;
-  if (reply.verdict != RunnerVerdict::kNoAnswer) last_answer_ = hooks_.now();
+  if (Spoke(reply.verdict)) last_answer_ = hooks_.now();
   if (order.phase == Phase::kStopping) {
     CallStop(run, order);
     return;
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -174,7 +174,9 @@
         RefusalCase{RunnerVerdict::kOutdated, NotBegunReason::kOutdated},
         RefusalCase{RunnerVerdict::kNoRoom, NotBegunReason::kNoRoom},
         RefusalCase{RunnerVerdict::kNotAllowed, NotBegunReason::kNotAllowed},
-        RefusalCase{RunnerVerdict::kUnhealthy, NotBegunReason::kUnhealthy}));
+        RefusalCase{RunnerVerdict::kUnhealthy, NotBegunReason::kUnhealthy},
+        RefusalCase{RunnerVerdict::kUnreachable,
+                    NotBegunReason::kUnreachable}));
 
 TEST_F(ExecutorTest, UnansweredStartThatRunsIsTakenAsStarted) {
   Register("life-1");
@@ -266,6 +268,23 @@
   EXPECT_THAT(Sent<VmHeartbeat>(), IsEmpty());
 }
 
+// Starts that nobody took counted as answers, so that the lease of a runner
+// that was gone for good was renewed as long as work was offered to it (a day
+// of the users' bench with runners that crash: tasks were away for 25 s).
+TEST_F(ExecutorTest, CallsThatNobodyTakesAreNotASignOfLife) {
+  Register("life-1");
+  Attach(1);
+  for (uint64_t run = 1; run <= 10; ++run) {
+    executor_->OnMessage(kLink, RenewLease{1, now_, seconds(5)});
+    Start({{"w", 0, 0, 0}, run}, 1);
+    starts_.back().second({RunnerVerdict::kUnreachable, std::nullopt});
+    Pass(milliseconds(300));
+  }
+  sent_.clear();
+  Pass(seconds(1));
+  EXPECT_THAT(Sent<VmHeartbeat>(), IsEmpty());
+}
+
 TEST_F(ExecutorTest, RunnerThatLeftIsReportedEmptyAfterAPause) {
   Register("life-1");
   Attach(1);
