--- a/beamhill/dispatch/dispatch_pressure.cc
+++ b/beamhill/dispatch/dispatch_pressure.cc
@@ -32,8 +32,10 @@
   }
   std::map<std::string, TimePoint> starved;
   state.paces.clear();
+  state.filling_cpu_in_use = 0;
   for (const FillingLoad& load : pressure.filling) {
     state.paces[load.image] = load.percent;
+    state.filling_cpu_in_use += load.cpu_millis;
     if (load.percent >= kStarvedPercent) continue;
     const auto it = state.starved_since.find(load.image);
     starved[load.image] = it == state.starved_since.end() ? now : it->second;
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -514,6 +514,7 @@
     summary.used += vm.used;
     summary.serving_cpu += vm.serving_cpu;
     summary.filling_cpu += vm.filling_cpu;
+    summary.filling_cpu_in_use += vm.filling_cpu_in_use;
     summary.held_runs += vm.held.size();
   }
   for (const auto& [id, job] : jobs_) {
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -62,9 +62,10 @@
 struct DispatchSummary {
   size_t vms = 0;  // Answering.
   Resources capacity;
-  Resources used;           // By what doesn't fill.
-  int64_t serving_cpu = 0;  // Part of it.
-  int64_t filling_cpu = 0;  // What fillers ask for.
+  Resources used;                  // By what doesn't fill.
+  int64_t serving_cpu = 0;         // Part of it.
+  int64_t filling_cpu = 0;         // What fillers ask for.
+  int64_t filling_cpu_in_use = 0;  // What they used, as last reported.
   size_t open_workflows = 0;
   size_t held_runs = 0;
   std::string pressure;  // "filler>serving:ms" for each learned pair.
@@ -200,8 +201,9 @@
     int64_t filling_cpu = 0;  // Asked for by what fills.
     int64_t serving_cpu = 0;  // Part of `used` that serves.
     std::map<std::string, ServingImage> serving;
-    std::map<std::string, int64_t> filling;          // By image, as asked for.
-    std::map<std::string, int32_t> paces;            // By filling image.
+    std::map<std::string, int64_t> filling;  // By image, as asked for.
+    std::map<std::string, int32_t> paces;    // By filling image.
+    int64_t filling_cpu_in_use = 0;
     std::map<std::string, TimePoint> starved_since;  // Images paced low.
     uint64_t processed = 0;  // Highest end taken in, of this life.
     uint64_t settled = 0;    // Highest end reported as durable.
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -475,18 +475,30 @@
   });
 }
 
-void Scheduler::HandOverIfCutOff() {
-  if (!keeper_->owns() || keeper_->SinceConfirmed() < kCutOffAfter) return;
+Link* Scheduler::ServedPeer() {
   for (auto& [link, peer] : peers_) {
     const bool fresh = BootClock::now() - peer.heard_at < kFreshHeartbeat;
-    if (!fresh || !peer.last.store_answers) continue;
-    const uint64_t epoch = keeper_->epoch();
-    Log(LogLevel::kWarning, "handing_over",
-        {{"to", peer.last.name}, {"epoch", epoch}});
-    keeper_->HandOverTo();
-    link->Send(EncodeDispatch(HandOver{epoch}));
-    return;
+    if (fresh && peer.last.store_answers) return link;
   }
+  return nullptr;
+}
+
+void Scheduler::OfferHandOver(uint64_t epoch) {
+  Link* link = ServedPeer();
+  if (link == nullptr) return;
+  Log(LogLevel::kInfo, "handing_over",
+      {{"to", peers_.at(link).last.name}, {"epoch", epoch}});
+  link->Send(EncodeDispatch(HandOver{epoch}));
+}
+
+void Scheduler::HandOverIfCutOff() {
+  const bool cut_off = keeper_->owns() &&
+                       keeper_->SinceConfirmed() >= kCutOffAfter &&
+                       ServedPeer() != nullptr;
+  if (!cut_off) return;
+  const uint64_t epoch = keeper_->epoch();
+  keeper_->HandOverTo();
+  OfferHandOver(epoch);
 }
 
 void Scheduler::Tick() {
@@ -514,8 +526,10 @@
     return;
   }
   owner_->Quiesce([this, done] {
-    keeper_->Release([this, done] {
+    const uint64_t epoch = keeper_->epoch();
+    keeper_->Release([this, epoch, done] {
       retired_owner_ = std::move(owner_);
+      OfferHandOver(epoch);
       done();
     });
   });
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -121,6 +121,10 @@
   void ShareSettings(uint64_t peers_version,
                      const std::function<void(const DispatchMessage&)>& send);
   void Tick();
+  // A peer that the table answers, by what it said lately; or null.
+  Link* ServedPeer();
+  // Tells such a peer that this process has stopped acting under the epoch.
+  void OfferHandOver(uint64_t epoch);
   void HandOverIfCutOff();
 
   EventLoop& loop_;
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -136,6 +136,7 @@
        {"cpu_used", summary.used.cpu_millis},
        {"cpu_serving", summary.serving_cpu},
        {"cpu_filling", summary.filling_cpu},
+       {"cpu_filling_in_use", summary.filling_cpu_in_use},
        {"runs", summary.held_runs},
        {"open_workflows", summary.open_workflows},
        {"pressure_ms", summary.pressure}});
