--- a/beamhill/executor/pacer.cc
+++ b/beamhill/executor/pacer.cc
@@ -21,6 +21,10 @@
 // for the cause, for so long.
 constexpr double kExplainsPart = 0.12;
 constexpr Duration kTrustWeights = std::chrono::milliseconds(900);
+// An image is harmless if at this share of a VM it explains nothing. It is
+// spared for so long; the users count harm after 4 s.
+constexpr double kUsualShare = 0.2;
+constexpr Duration kSpareHarmless = std::chrono::milliseconds(2200);
 constexpr double kKeepOver = 0.35;
 constexpr double kKeepNear = 0.65;
 
@@ -54,8 +58,12 @@
   over_ = !over.empty();
   if (over_ && now - cut_at_ >= kCutPause) {
     if (now - over_since_ >= kTrustWeights) {
-      // Whatever is known has not helped.
-      for (const auto& [image, share] : filling) CutImage(image, kKeepOver);
+      // Blaming has not helped.
+      const bool spare = now - over_since_ < kSpareHarmless;
+      for (const auto& [image, share] : filling) {
+        if (spare && KnownHarmless(over, image)) continue;
+        CutImage(image, kKeepOver);
+      }
     } else {
       Cut(over, filling);
     }
@@ -67,6 +75,15 @@
   }
 }
 
+bool Pacer::KnownHarmless(const std::vector<ServingSample>& over,
+                          const std::string& image) const {
+  return std::all_of(over.begin(), over.end(), [&](const auto& sample) {
+    const bool known = weights_.count({sample.image, image}) > 0;
+    return known && WeightMillis(sample.image, image) * kUsualShare <
+                        kExplainsPart * ToMillis(sample.target);
+  });
+}
+
 void Pacer::CutImage(const std::string& image, double keep) {
   int percent = static_cast<int>(PercentOf(image) * keep);
   if (percent < kLeastPercent) percent = 0;
--- a/beamhill/executor/pacer.h
+++ b/beamhill/executor/pacer.h
@@ -49,6 +49,8 @@
            const FillingShares& filling);
   void Give(const std::vector<ServingSample>& serving,
             const FillingShares& filling);
+  bool KnownHarmless(const std::vector<ServingSample>& over,
+                     const std::string& image) const;
   void CutImage(const std::string& image, double keep);
 
   Weights weights_;
