--- a/beamhill/placement/interference_model.cc
+++ b/beamhill/placement/interference_model.cc
@@ -25,8 +25,6 @@
 constexpr double kForgetting = 0.9995;
 // Prior precision of the constant: almost none.
 constexpr double kConstantPrior = 1e-3;
-// Observations between two solutions.
-constexpr size_t kSolveEvery = 16;
 // Least prediction, in units of the first latency seen.
 constexpr double kFloor = 0.01;
 
@@ -115,11 +113,13 @@
   m.targets *= kForgetting;
   m.products += ublas::outer_prod(x, x) / (scale * scale);
   m.targets += x * (y / (scale * scale));
-  if (m.samples > kSolveEvery) {
+  if (m.samples > m.priors.solve_every) {
     m.squared_error +=
         0.01 * (std::min(residual * residual, 1.0) - m.squared_error);
   }
-  if (++m.samples % kSolveEvery == 0 || m.samples < kSolveEvery) m.Solve();
+  if (++m.samples % m.priors.solve_every == 0 ||
+      m.samples < m.priors.solve_every)
+    m.Solve();
 }
 
 InterferenceModel::Prediction InterferenceModel::Predict(
--- a/beamhill/placement/interference_model.h
+++ b/beamhill/placement/interference_model.h
@@ -30,6 +30,8 @@
 struct InterferencePriors {
   double shared = 0.05;
   double of_class = 0.5;
+  // Observations between two solutions: fewer learn sooner and cost more.
+  size_t solve_every = 16;
 };
 
 class InterferenceModel {
--- a/beamhill/placement/pairwise_interference.cc
+++ b/beamhill/placement/pairwise_interference.cc
@@ -7,7 +7,7 @@
 constexpr size_t kEnoughSamples = 20;
 // A day has few images, and a wrong neighbour costs at once, so that weights
 // are learned from little: a pair seen for seconds at a tenth of a VM.
-constexpr InterferencePriors kPriors = {0.05, 0.03};
+constexpr InterferencePriors kPriors = {0.5, 0.01, 1};
 
 }  // namespace
 
