Keep what was learned of pressure for the next owner

Change: the owner stores the learned pairs every 2 s with a transaction; the next one takes them over as if seen a few times. Tests: a next owner places by them, and a starved filler is moved.

--- a/beamhill/dispatch/dispatch_messages.cc
+++ b/beamhill/dispatch/dispatch_messages.cc
@@ -95,6 +95,9 @@
   return EncodeAny(record);
 }
 std::string EncodeRecord(const VmRecord& record) { return EncodeAny(record); }
+std::string EncodeRecord(const PressureRecord& record) {
+  return EncodeAny(record);
+}
 
 template <typename Record>
 Result<Record> DecodeRecord(std::string_view bytes) {
@@ -110,5 +113,6 @@
 template Result<ProgressRecord> DecodeRecord<ProgressRecord>(std::string_view);
 template Result<OwnerRecord> DecodeRecord<OwnerRecord>(std::string_view);
 template Result<VmRecord> DecodeRecord<VmRecord>(std::string_view);
+template Result<PressureRecord> DecodeRecord<PressureRecord>(std::string_view);
 
 }  // namespace beamhill
--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -444,6 +444,26 @@
   }
 };
 
+// The row that keeps what an owner has learned of pressure for the next one.
+struct PressureRecord {
+  struct Image {
+    std::string serving;
+    Duration alone{};
+    std::vector<PressureWeight> weights;
+
+    template <typename S>
+    static auto Fields(S& s) {
+      return std::tie(s.serving, s.alone, s.weights);
+    }
+  };
+  std::vector<Image> images;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.images);
+  }
+};
+
 std::string EncodeDispatch(const DispatchMessage& message);
 Result<DispatchMessage> DecodeDispatch(std::string_view bytes);
 
@@ -452,6 +472,7 @@
 std::string EncodeRecord(const ProgressRecord& record);
 std::string EncodeRecord(const OwnerRecord& record);
 std::string EncodeRecord(const VmRecord& record);
+std::string EncodeRecord(const PressureRecord& record);
 template <typename Record>
 Result<Record> DecodeRecord(std::string_view bytes);
 
--- a/beamhill/dispatch/dispatch_pressure.cc
+++ b/beamhill/dispatch/dispatch_pressure.cc
@@ -46,6 +46,29 @@
   }
 }
 
+PressureRecord Dispatcher::LearnedPressure() const {
+  PressureRecord record;
+  for (const auto& summary : interference_.Summaries()) {
+    PressureRecord::Image image{summary.serving, summary.alone, {}};
+    for (const auto& weight : summary.weights) {
+      image.weights.push_back({weight.serving, weight.filler, weight.per_vm});
+    }
+    record.images.push_back(std::move(image));
+  }
+  return record;
+}
+
+void Dispatcher::RecallPressure(const PressureRecord& record) {
+  for (const PressureRecord::Image& image : record.images) {
+    PairwiseInterference::Summary summary{image.serving, image.alone, {}};
+    for (const PressureWeight& weight : image.weights) {
+      summary.weights.push_back(
+          {weight.serving, weight.filling, weight.per_vm});
+    }
+    interference_.Recall(summary);
+  }
+}
+
 void Dispatcher::SendWeights() {
   PressureWeights learned{options_.epoch, {}};
   for (const auto& weight : interference_.Weights()) {
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -137,6 +137,11 @@
   // the ownership.
   void set_may_act(bool may_act) { may_act_ = may_act; }
 
+  // What was learned of pressure, to be stored; and what an earlier owner
+  // stored.
+  PressureRecord LearnedPressure() const;
+  void RecallPressure(const PressureRecord& record);
+
   // Tells every VM what was learned of pressure.
   void SendWeights();
 
--- a/beamhill/placement/pairwise_interference.cc
+++ b/beamhill/placement/pairwise_interference.cc
@@ -1,5 +1,8 @@
 #include "beamhill/placement/pairwise_interference.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace beamhill {
 namespace {
 
@@ -9,6 +12,10 @@
 // are learned from little: a pair seen for seconds at a tenth of a VM.
 constexpr InterferencePriors kPriors = {0.5, 0.01, 1};
 
+// How often, and at which share of a VM, a recalled weight counts as seen.
+constexpr int kRecalledTimes = 8;
+constexpr double kRecalledShare = 0.2;
+
 }  // namespace
 
 PairwiseInterference::Learned::Learned() : model(kPriors) {}
@@ -41,4 +48,32 @@
   return weights;
 }
 
+std::vector<PairwiseInterference::Summary> PairwiseInterference::Summaries()
+    const {
+  std::map<std::string, Summary> by_serving;
+  for (const Weight& weight : Weights()) {
+    Summary& summary = by_serving[weight.serving];
+    summary.serving = weight.serving;
+    summary.weights.push_back(weight);
+  }
+  std::vector<Summary> summaries;
+  for (auto& [serving, summary] : by_serving) {
+    summary.alone = Predict(serving, {}).value_or(Duration(0));
+    summaries.push_back(std::move(summary));
+  }
+  return summaries;
+}
+
+void PairwiseInterference::Recall(const Summary& summary) {
+  for (int i = 0; i < kRecalledTimes; ++i) {
+    Observe(summary.serving, {}, summary.alone);
+    for (const Weight& weight : summary.weights) {
+      const auto added =
+          std::chrono::duration_cast<Duration>(weight.per_vm * kRecalledShare);
+      Observe(summary.serving, {{weight.filler, kRecalledShare}},
+              std::max(summary.alone + added, Duration(0)));
+    }
+  }
+}
+
 }  // namespace beamhill
--- a/beamhill/placement/pairwise_interference.h
+++ b/beamhill/placement/pairwise_interference.h
@@ -40,6 +40,17 @@
   // Of all pairs that have been seen beside each other.
   std::vector<Weight> Weights() const;
 
+  // What was learned of one serving image, to be kept elsewhere.
+  struct Summary {
+    std::string serving;
+    Duration alone{};  // The tail with nothing beside it.
+    std::vector<Weight> weights;
+  };
+  std::vector<Summary> Summaries() const;
+  // Takes a summary over, as if it had been seen a few times. What is
+  // observed from then on soon outweighs it.
+  void Recall(const Summary& summary);
+
  private:
   struct Learned {
     InterferenceModel model;
--- a/beamhill/scheduler/job_desk.h
+++ b/beamhill/scheduler/job_desk.h
@@ -46,6 +46,8 @@
 inline constexpr char kProgress[] = "progress/";
 inline constexpr char kCancels[] = "cancels/";
 inline constexpr char kVms[] = "vms/";
+inline constexpr char kLearned[] = "learned/";
+inline constexpr char kPressure[] = "learned/pressure";
 // What the owner may not have heard of yet: "n-" new, "c-" cancelled.
 inline constexpr char kArrivals[] = "arrivals/";
 std::string NewMarker(const std::string& workflow);
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -16,6 +16,8 @@
 constexpr Duration kReloadPause = std::chrono::milliseconds(200);
 // A VM that has not been heard for so long is dialed anew.
 constexpr Duration kVmSilence = std::chrono::milliseconds(2500);
+// What was learned rides on a transaction this often; some kilobytes.
+constexpr Duration kStorePressureInterval = std::chrono::seconds(2);
 constexpr Duration kCommitRetry = std::chrono::milliseconds(150);
 constexpr Duration kReattachPause = std::chrono::milliseconds(300);
 
@@ -33,7 +35,8 @@
 // What is stored, collected table by table.
 struct WorkOwner::Loading {
   std::vector<std::string> prefixes = {rows::kVms, rows::kWorkflows,
-                                       rows::kProgress, rows::kCancels};
+                                       rows::kProgress, rows::kCancels,
+                                       rows::kLearned};
   std::map<std::string, std::vector<Row>> found;
 };
 
@@ -113,6 +116,10 @@
   for (const Row& row : loading.found.at(rows::kCancels)) {
     dispatcher_->Cancel(After(row.key, rows::kCancels), now);
   }
+  for (const Row& row : loading.found.at(rows::kLearned)) {
+    const auto learned = DecodeRecord<PressureRecord>(row.value);
+    if (IsOk(learned)) dispatcher_->RecallPressure(ValueOf(learned));
+  }
   Log(LogLevel::kInfo, "owner_loaded",
       {{"epoch", options_.epoch},
        {"workflows", dispatcher_->workflows()},
@@ -351,6 +358,12 @@
     remove(rows::kProgress + id);
     remove(rows::kCancels + id);
   }
+  const TimePoint now = BootClock::now();
+  if (now - pressure_stored_at_ >= kStorePressureInterval) {
+    pressure_stored_at_ = now;
+    writes.push_back({rows::kPressure, kAnyVersion,
+                      EncodeRecord(dispatcher_->LearnedPressure())});
+  }
   constexpr size_t kMaxWrites = 98;  // Of 100; one is the owner's row.
   while (!stale_markers_.empty() && writes.size() < kMaxWrites) {
     remove(*stale_markers_.begin());
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -108,6 +108,7 @@
   bool quiet_ = false;
   std::function<void()> on_quiet_;
   TimePoint commit_after_{};
+  TimePoint pressure_stored_at_{};
   uint64_t starts_counted_ = 0;
   Timer tick_soon_;
   bool tick_pending_ = false;
