--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -49,10 +49,11 @@
   uint32_t index = 0;
   uint64_t run = 0;
   std::string checkpoint;
+  std::string ticket;  // Of the placement advisor; empty: none is needed.
 
   template <typename S>
   static auto Fields(S& s) {
-    return std::tie(s.index, s.run, s.checkpoint);
+    return std::tie(s.index, s.run, s.checkpoint, s.ticket);
   }
 };
 
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -80,6 +80,7 @@
     if (counts_.starts >= limit) break;
     const WorkflowStep& step =
         ref.job->progress.workflow().steps[ref.open.step];
+    if (!HasAdvice(*ref.job, ref.open, now)) continue;
     if (step.gang) {
       StartGang(*ref.job, ref.open, now);
     } else {
@@ -198,7 +199,9 @@
                                    const std::string& avoid, TimePoint now,
                                    std::string* name) {
   const Workflow& workflow = job.progress.workflow();
-  const bool simple = step.max_per_vm == 0 && step.required_label.empty();
+  const bool advised = workflow.policy.needs_advice;
+  const bool simple =
+      step.max_per_vm == 0 && step.required_label.empty() && !advised;
   for (const auto& [service, earlier] : no_room_) {
     if (simple && service == workflow.service && earlier.fills == step.fills &&
         step.each.Holds(earlier.each)) {
@@ -209,6 +212,9 @@
   double best_cost = 0;
   for (auto& [vm_name, vm] : vms_) {
     if (!Fits(vm, vm_name, job, step, now)) continue;
+    if (advised && TicketFor(job, open, vm.status.life, now) == nullptr) {
+      continue;
+    }
     if (step.max_per_vm > 0) {
       const auto same =
           std::count_if(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
@@ -254,7 +260,10 @@
     starts.fills = step.fills;
     starts.tail_target = step.tail_target;
   }
-  starts.runs.push_back({ref.index, run, checkpoint});
+  const Ticket* ticket =
+      TicketFor(job, {ref.round, ref.step}, vm.status.life, now);
+  starts.runs.push_back(
+      {ref.index, run, checkpoint, ticket == nullptr ? "" : ticket->text});
   Decide(ref.workflow, "run_ordered",
          ref.ToString() + " run " + std::to_string(run) + " on " + name +
              ", used " + std::to_string(vm.used.cpu_millis) + " of " +
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -83,6 +83,18 @@
   std::vector<std::string> forgotten;  // Workflows past their retention.
 };
 
+// Asks the placement advisor which of these runners may run a step.
+struct AdviceRequest {
+  TaskRef step;  // The index means nothing.
+  std::vector<std::string> lives;
+};
+
+// What it answered: the runners that may, each with a ticket for its starts.
+struct Advice {
+  std::map<std::string, std::string> tickets;  // By life.
+  Duration valid{};
+};
+
 struct DispatchCounts {
   uint64_t starts = 0;
   uint64_t done = 0;
@@ -139,6 +151,12 @@
   // Whether a silent VM waits only for such a confirmation.
   bool WantsConfirmation(TimePoint now) const;
 
+  // Questions for the advisor, each to be answered once; without advice when
+  // it could not be had.
+  std::vector<AdviceRequest> TakeAdviceRequests();
+  void OnAdvice(const TaskRef& step, const std::optional<Advice>& advice,
+                TimePoint now);
+
   // Whether leases may be granted and tasks started; set by the keeper of
   // the ownership.
   void set_may_act(bool may_act) { may_act_ = may_act; }
@@ -176,6 +194,15 @@
   // leave is taken by tasks that fill. From the workloads' sheets.
   static constexpr double kServingUse = 0.55;
 
+  struct Ticket {
+    std::string text;
+    TimePoint until{};
+  };
+  struct StepAdvice {
+    bool asked = false;  // A question is open.
+    TimePoint ask_after{};
+    std::map<std::string, Ticket> tickets;  // By life.
+  };
   struct Job {
     explicit Job(const Workflow& workflow) : progress(workflow) {}
 
@@ -187,6 +214,8 @@
     bool inherited = false;  // An earlier owner may have started tasks.
     bool dirty = false;
     std::optional<TimePoint> over_at;
+    // By round and step; for queues whose placement an advisor restricts.
+    std::map<std::pair<uint32_t, uint32_t>, StepAdvice> advice;
   };
   struct HeldRun {
     Resources amount;         // Without the processor time of a filler.
@@ -254,6 +283,13 @@
   bool IsPast(TimePoint bound, TimePoint now) const;
   void Settle(const std::map<std::string, std::pair<std::string, uint64_t>>&);
 
+  // In dispatch_advice.cc.
+  bool HasAdvice(Job& job, const WorkflowProgress::OpenStep& open,
+                 TimePoint now);
+  static const Ticket* TicketFor(const Job& job,
+                                 const WorkflowProgress::OpenStep& open,
+                                 const std::string& life, TimePoint now);
+
   // In dispatch_pressure.cc.
   void MoveStarved(TimePoint now);
   int MoveStarvedOf(const std::string& name, Vm& vm, const std::string& image,
@@ -308,6 +344,7 @@
 
   // Starts of the current tick, by VM and step.
   std::map<std::pair<std::string, TaskRef>, StartRuns> starts_;
+  std::vector<AdviceRequest> advice_requests_;
   std::vector<VmMessage> outbox_;
   DispatchCounts counts_;
 };
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -406,6 +406,59 @@
   EXPECT_THAT(Tick().starts, IsEmpty());
 }
 
+class DispatcherAdviceTest : public DispatcherTest {
+ protected:
+  void AddRestricted() {
+    Workflow workflow = OneStep("a", 2, 2);
+    workflow.policy.needs_advice = true;
+    dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
+  }
+};
+
+TEST_F(DispatcherAdviceTest, StartsOnlyWhereAdvisedWithTheTicket) {
+  Take({});
+  Link("vm-1");
+  Link("vm-2");
+  AddRestricted();
+  EXPECT_THAT(Tick().starts, IsEmpty());
+  const auto requests = dispatcher_->TakeAdviceRequests();
+  ASSERT_THAT(requests, SizeIs(1));
+  EXPECT_THAT(requests[0].lives, ElementsAre("vm-1-life-1", "vm-2-life-1"));
+  dispatcher_->OnAdvice(requests[0].step,
+                        Advice{{{"vm-2-life-1", "t"}}, seconds(3)}, now_);
+  dispatcher_->Tick(now_, kUnix);
+  int starts = 0;
+  for (const VmMessage& out : dispatcher_->TakeMessages()) {
+    const auto* start = std::get_if<StartRuns>(&out.message);
+    if (start == nullptr) continue;
+    EXPECT_EQ(out.vm, "vm-2");
+    for (const StartRun& run : start->runs) {
+      EXPECT_EQ(run.ticket, "t");
+      ++starts;
+    }
+  }
+  EXPECT_EQ(starts, 2);
+}
+
+TEST_F(DispatcherAdviceTest, AsksAgainAfterAPauseAndWhenTicketsEnd) {
+  Take({});
+  Link("vm-1");
+  AddRestricted();
+  Tick();
+  const TaskRef step = dispatcher_->TakeAdviceRequests()[0].step;
+  Tick();
+  EXPECT_THAT(dispatcher_->TakeAdviceRequests(), IsEmpty());
+  dispatcher_->OnAdvice(step, std::nullopt, now_);
+  Tick();
+  EXPECT_THAT(dispatcher_->TakeAdviceRequests(), IsEmpty());
+  Pass(milliseconds(500), {"vm-1"});
+  EXPECT_THAT(dispatcher_->TakeAdviceRequests(), SizeIs(1));
+  dispatcher_->OnAdvice(step, Advice{{{"vm-1-life-1", "t"}}, milliseconds(100)},
+                        now_);
+  EXPECT_THAT(Tick().starts, IsEmpty());
+  EXPECT_THAT(dispatcher_->TakeAdviceRequests(), SizeIs(1));
+}
+
 class DispatcherPressureTest : public DispatcherTest {
  protected:
   // Two VMs, each full of one serving image; returns where the calm one is.
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -207,8 +207,8 @@
   if (starts.fills || starts.tail_target > Duration(0)) {
     traits_[run] = {starts.image, starts.fills, starts.tail_target, 100};
   }
-  RunnerStart call{status_.life,   epoch_,           run,
-                   starts.payload, start.checkpoint, *lease_end};
+  RunnerStart call{status_.life,     epoch_,       run,       starts.payload,
+                   start.checkpoint, start.ticket, *lease_end};
   runner_.start(std::move(call),
                 lifetime_.Guard([this, run, epoch = epoch_](RunnerReply reply) {
                   if (epoch == epoch_) OnStartReply(run, reply);
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -80,7 +80,7 @@
     starts.image = "img";
     starts.fills = fills;
     starts.tail_target = tail_target;
-    starts.runs = {{run.task.index, run.run, ""}};
+    starts.runs = {{run.task.index, run.run, "", ""}};
     executor_->OnMessage(kLink, starts);
   }
 
@@ -254,7 +254,7 @@
   StartRuns starts;
   starts.epoch = 1;
   starts.life = "life-1";
-  starts.runs = {{0, 1, ""}};
+  starts.runs = {{0, 1, "", ""}};
   executor_->OnMessage(kLink, starts);
   EXPECT_THAT(starts_, IsEmpty());
 }
--- a/beamhill/executor/task_runner.h
+++ b/beamhill/executor/task_runner.h
@@ -44,6 +44,7 @@
   RunRef run;
   std::string payload;
   std::string checkpoint;
+  std::string ticket;  // Empty: the step needs none.
   RunnerClock lease_end{};
 };
 
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -108,7 +108,7 @@
   options.inherited_bound = settings_.lease_term + kBoundMargin;
   if (!released) options.inherited_bound += settings_.authority_term;
   owner_ = std::make_unique<WorkOwner>(loop_, table_, *keeper_, options,
-                                       owner_metrics_);
+                                       hooks_.advisor, owner_metrics_);
   // Stored workflows are found by loading.
   notices_.clear();
   if (!followed_.address.empty()) known_peers_.insert(followed_.address);
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -45,6 +45,7 @@
   std::function<std::string()> settings_document;
   std::function<void(uint64_t version, const std::string& document)>
       on_settings_copy;
+  AdvisorHook advisor;
 };
 
 class Scheduler {
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -41,11 +41,13 @@
 };
 
 WorkOwner::WorkOwner(EventLoop& loop, Table table, OwnershipKeeper& keeper,
-                     const WorkOwnerOptions& options, WorkOwnerMetrics metrics)
+                     const WorkOwnerOptions& options, AdvisorHook advisor,
+                     WorkOwnerMetrics metrics)
     : loop_(loop),
       table_(table),
       keeper_(keeper),
       options_(options),
+      advisor_(std::move(advisor)),
       metrics_(metrics),
       desk_(table) {
   Load();
@@ -329,10 +331,21 @@
   metrics_.starts->Add(starts - starts_counted_);
   starts_counted_ = starts;
   MaybeCommit();
+  AskAdvisor();
   Flush();
   for (auto& [name, vm] : vms_) vm.peer->CloseIfSilent(kVmSilence);
 }
 
+void WorkOwner::AskAdvisor() {
+  for (const AdviceRequest& request : dispatcher_->TakeAdviceRequests()) {
+    advisor_(request, lifetime_.Guard([this, step = request.step](
+                                          std::optional<Advice> advice) {
+      dispatcher_->OnAdvice(step, advice, BootClock::now());
+      TickSoon();
+    }));
+  }
+}
+
 void WorkOwner::Flush() {
   if (!keeper_.MayAct()) {
     dispatcher_->TakeMessages();
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -26,6 +26,10 @@
 
 namespace beamhill {
 
+// Asks the placement advisor; `done` gets nothing when no answer came.
+using AdvisorHook = std::function<void(
+    const AdviceRequest&, std::function<void(std::optional<Advice>)> done)>;
+
 struct WorkOwnerOptions {
   uint64_t epoch = 0;
   Duration lease_term = std::chrono::seconds(5);
@@ -46,7 +50,8 @@
 class WorkOwner {
  public:
   WorkOwner(EventLoop& loop, Table table, OwnershipKeeper& keeper,
-            const WorkOwnerOptions& options, WorkOwnerMetrics metrics);
+            const WorkOwnerOptions& options, AdvisorHook advisor,
+            WorkOwnerMetrics metrics);
   ~WorkOwner();
   WorkOwner(const WorkOwner&) = delete;
   WorkOwner& operator=(const WorkOwner&) = delete;
@@ -88,6 +93,7 @@
   void Tick();
   void Flush();
   void MaybeCommit();
+  void AskAdvisor();
   void OnCommitted(bool committed, TimePoint sent_at);
   void LogSummary();
   std::vector<RowWrite> WritesOf(const DispatchCommit& commit);
@@ -96,6 +102,7 @@
   Table table_;
   OwnershipKeeper& keeper_;
   WorkOwnerOptions options_;
+  AdvisorHook advisor_;
   WorkOwnerMetrics metrics_;
   JobDesk desk_;
   std::unique_ptr<Dispatcher> dispatcher_;
