--- a/beamhill/scheduler/job_desk.cc
+++ b/beamhill/scheduler/job_desk.cc
@@ -6,9 +6,9 @@
 namespace beamhill {
 namespace {
 
-// Transactions of submissions that may be open at a time; on a quick table
-// one is rarely open when the next comes.
-constexpr int kMaxOpen = 2;
+// Transactions of submissions that may be open at a time. The store takes
+// those of one part one after another, so that more only wait there.
+constexpr int kMaxOpen = 1;
 // Each workflow takes two of a transaction's 100 entries and up to some
 // kilobytes of its megabyte.
 constexpr size_t kMaxBatch = 40;
