--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -98,8 +98,9 @@
                 run.run}});
         }
       } else if (const auto* stop = std::get_if<StopRuns>(&out.message)) {
-        for (const RunRef& run : stop->runs)
+        for (const RunRef& run : stop->runs) {
           sent.stops.push_back({out.vm, run});
+        }
       } else if (const auto* end = std::get_if<EndsSettled>(&out.message)) {
         sent.settled.push_back({out.vm, end->through});
       }
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -10,7 +10,6 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using testing::Contains;
 using testing::IsEmpty;
 using testing::SizeIs;
 
--- a/beamhill/executor/pacer.cc
+++ b/beamhill/executor/pacer.cc
@@ -117,7 +117,9 @@
 
 void Pacer::Give(const std::vector<ServingSample>& serving,
                  const FillingShares& filling) {
-  for (auto& [image, percent] : percents_) {
+  for (auto& entry : percents_) {
+    const std::string& image = entry.first;
+    int& percent = entry.second;
     if (percent >= 100) continue;
     const auto it = filling.find(image);
     const double share = it == filling.end() ? 0 : it->second;
--- a/beamhill/placement/interference_model.cc
+++ b/beamhill/placement/interference_model.cc
@@ -118,8 +118,9 @@
         0.01 * (std::min(residual * residual, 1.0) - m.squared_error);
   }
   if (++m.samples % m.priors.solve_every == 0 ||
-      m.samples < m.priors.solve_every)
+      m.samples < m.priors.solve_every) {
     m.Solve();
+  }
 }
 
 InterferenceModel::Prediction InterferenceModel::Predict(
--- a/beamhill/scheduler/job_desk.cc
+++ b/beamhill/scheduler/job_desk.cc
@@ -193,8 +193,9 @@
                           state = ValueOf(record).state;
                         }
                         const bool over = state >= WorkflowState::kCompleted;
-                        if (cancelled && !over)
+                        if (cancelled && !over) {
                           state = WorkflowState::kCancelled;
+                        }
                         done({true, state});
                       }));
             }));
--- a/beamhill/scheduler/job_desk_test.cc
+++ b/beamhill/scheduler/job_desk_test.cc
@@ -9,8 +9,6 @@
 namespace beamhill {
 namespace {
 
-using testing::ElementsAre;
-
 class JobDeskTest : public testing::Test {
  protected:
   static Workflow Job(const std::string& id) {
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -99,8 +99,8 @@
   std::map<std::string, ProgressRecord> records;
   for (const Row& row : loading.found.at(rows::kProgress)) {
     auto record = DecodeRecord<ProgressRecord>(row.value);
-    if (IsOk(record))
-      records[After(row.key, rows::kProgress)] = ValueOf(record);
+    if (!IsOk(record)) continue;
+    records[After(row.key, rows::kProgress)] = ValueOf(record);
   }
   for (const Row& row : loading.found.at(rows::kWorkflows)) {
     const auto workflow = DecodeRecord<Workflow>(row.value);
