--- a/beamhill/testing/coordination_test.cc
+++ b/beamhill/testing/coordination_test.cc
@@ -92,7 +92,7 @@
       {SimDefect::kEpochNotChecked,
        {F::kEntryPaused, F::kEntryCutFromTable, F::kLinkSlow, F::kLoadWave}},
       {SimDefect::kSessionNotChecked,
-       {F::kLinkSlow, F::kLinkCut, F::kLoadWave}},
+       {F::kLinkSlow, F::kLinkCut, F::kEvictionWave}},
       {SimDefect::kLeaseFromArrival,
        {F::kLinkSlow, F::kLinkCut, F::kAgentPaused}},
       {SimDefect::kLeaseNeverEnds, {F::kAgentPaused, F::kLinkCut}},
