Split the Dispatcher's source by its parts

Runs held by VMs, commits and the summary now stand in files of their own, as placement, pressure and advice do. OnInventory, ApplyEnd and TakeCommit are split into named steps, the text of a run in the log is built in one place, and OnCommitted no longer takes a time that it doesn't use. Behaviour is the same.

--- /dev/null
+++ b/beamhill/dispatch/dispatch_commit.cc
@@ -0,0 +1,93 @@
+// The part of Dispatcher that stores what changed, and tells executors which
+// ends are durable.
+#include <utility>
+
+#include "beamhill/dispatch/dispatcher.h"
+
+namespace beamhill {
+namespace {
+
+// Workflows in one transaction: each takes two of the store's 100 entries,
+// and the owner's row takes one.
+constexpr size_t kMaxCommit = 45;
+
+}  // namespace
+
+void Dispatcher::Settle(const EndsByVm& ends) {
+  for (const auto& [name, end] : ends) {
+    Vm& vm = vms_[name];
+    if (vm.status.life != end.first || vm.settled >= end.second) continue;
+    vm.settled = end.second;
+    Send(name, EndsSettled{options_.epoch, end.first, end.second});
+  }
+}
+
+Dispatcher::EndsByVm Dispatcher::UnsettledEnds() const {
+  EndsByVm ends;
+  for (const auto& [name, vm] : vms_) {
+    if (vm.processed > vm.settled) ends[name] = {vm.status.life, vm.processed};
+  }
+  return ends;
+}
+
+void Dispatcher::AddProgress(DispatchCommit& commit) {
+  while (!dirty_.empty() && commit.progress.size() < kMaxCommit) {
+    const std::string id = *dirty_.begin();
+    dirty_.erase(dirty_.begin());
+    Job* job = Find(id);
+    if (job == nullptr) continue;
+    job->dirty = false;
+    commit.progress.emplace_back(id, job->progress.Record(options_.epoch));
+    in_commit_.push_back(id);
+  }
+}
+
+void Dispatcher::AddForgotten(DispatchCommit& commit, TimePoint now) const {
+  for (const auto& [id, job] : jobs_) {
+    if (commit.progress.size() + commit.forgotten.size() >= kMaxCommit) return;
+    const bool old = job->over_at && !job->dirty &&
+                     job->stored_state == job->progress.state() &&
+                     now - *job->over_at > options_.retention;
+    if (old) commit.forgotten.push_back(id);
+  }
+}
+
+std::optional<DispatchCommit> Dispatcher::TakeCommit(TimePoint now) {
+  if (commit_out_) return std::nullopt;
+  EndsByVm ends = UnsettledEnds();
+  // Nothing that these ends changed waits to be stored.
+  if (dirty_.empty()) Settle(ends);
+  DispatchCommit commit;
+  const bool all = dirty_.size() <= kMaxCommit;
+  AddProgress(commit);
+  AddForgotten(commit, now);
+  if (commit.progress.empty() && commit.forgotten.empty()) return std::nullopt;
+  if (all) settling_ = std::move(ends);
+  forgetting_ = commit.forgotten;
+  commit_out_ = true;
+  return commit;
+}
+
+void Dispatcher::OnCommitted() {
+  commit_out_ = false;
+  for (const std::string& id : std::exchange(in_commit_, {})) {
+    Job* job = Find(id);
+    if (job == nullptr) continue;
+    job->opened = true;
+    // A job that changed meanwhile is dirty again and shows its end later.
+    if (!job->dirty) job->stored_state = job->progress.state();
+  }
+  for (const std::string& id : std::exchange(forgetting_, {})) jobs_.erase(id);
+  Settle(std::exchange(settling_, {}));
+}
+
+void Dispatcher::OnCommitFailed() {
+  commit_out_ = false;
+  for (const std::string& id : std::exchange(in_commit_, {})) {
+    if (Job* job = Find(id); job != nullptr) MarkDirty(*job);
+  }
+  forgetting_.clear();
+  settling_.clear();
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -0,0 +1,284 @@
+// The part of Dispatcher that accounts for runs: which VM holds which, what
+// becomes of each, and what an executor's inventory and reports say of them.
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "beamhill/dispatch/dispatcher.h"
+
+namespace beamhill {
+namespace {
+
+// How often an inventory with unknown workflows is asked for again before
+// its unknown runs are stopped.
+constexpr int kUnknownTries = 4;
+// A refused or failed task waits so long before it is tried again.
+constexpr Duration kRetryPause = std::chrono::milliseconds(60);
+// A VM that refused a start for want of room gets none for so long.
+constexpr Duration kNoRoomPause = std::chrono::milliseconds(250);
+// A VM whose runner nobody answers for; its lease ends meanwhile, or its next
+// life registers.
+constexpr Duration kUnreachablePause = std::chrono::milliseconds(1500);
+
+// A run and where it is, for the log.
+std::string RunOnVm(const RunRef& run, const std::string& vm) {
+  return run.task.ToString() + " run " + std::to_string(run.run) + " on " + vm;
+}
+
+}  // namespace
+
+void Dispatcher::Evacuate(const std::string& name, Vm& vm) {
+  const auto left = static_cast<int64_t>(ToMillis(vm.status.remaining));
+  Decide("", "vm_draining", name + ", " + std::to_string(left) + " ms left");
+  for (const auto& [run, held] : std::map<RunRef, HeldRun>(vm.held)) {
+    const Job* job = Find(run.task.workflow);
+    if (job == nullptr) continue;
+    const WorkflowStep& step = job->progress.workflow().steps[run.task.step];
+    if (step.long_running || step.declared_run > vm.status.remaining) {
+      Stop(name, vm, run);
+    }
+  }
+}
+
+void Dispatcher::Hold(Vm& vm, const RunRef& run, const WorkflowStep& step) {
+  HeldRun held;
+  held.amount = step.each;
+  held.image = step.image;
+  held.tail_target = step.tail_target;
+  if (step.fills) {
+    std::swap(held.filling_cpu, held.amount.cpu_millis);
+    vm.filling[step.image] += held.filling_cpu;
+  }
+  if (held.tail_target > Duration(0)) {
+    vm.serving_cpu += held.amount.cpu_millis;
+    ServingImage& image = vm.serving[step.image];
+    ++image.runs;
+    image.tail_target = step.tail_target;
+  }
+  vm.filling_cpu += held.filling_cpu;
+  vm.used += held.amount;
+  vm.held[run] = held;
+}
+
+void Dispatcher::Release(Vm& vm, const RunRef& run) {
+  const auto it = vm.held.find(run);
+  if (it == vm.held.end()) return;
+  const HeldRun& held = it->second;
+  if (held.tail_target > Duration(0)) {
+    vm.serving_cpu -= held.amount.cpu_millis;
+    if (--vm.serving[held.image].runs == 0) vm.serving.erase(held.image);
+  }
+  if (held.filling_cpu > 0) {
+    vm.filling[held.image] -= held.filling_cpu;
+    if (vm.filling[held.image] <= 0) vm.filling.erase(held.image);
+  }
+  vm.filling_cpu -= held.filling_cpu;
+  vm.used -= held.amount;
+  vm.held.erase(it);
+}
+
+void Dispatcher::Stop(const std::string& name, Vm& vm, const RunRef& run) {
+  const auto it = vm.held.find(run);
+  if (it != vm.held.end()) {
+    if (it->second.stopping) return;
+    it->second.stopping = true;
+  }
+  Send(name, StopRuns{options_.epoch, vm.status.life, {run}});
+}
+
+void Dispatcher::StopAllOf(Job& job) {
+  const std::string& id = job.progress.workflow().id;
+  for (auto& [name, vm] : vms_) {
+    for (const auto& [run, held] : std::map<RunRef, HeldRun>(vm.held)) {
+      if (run.task.workflow == id) Stop(name, vm, run);
+    }
+  }
+}
+
+void Dispatcher::LetGo(const std::string& name, Vm& vm, RunRef run,
+                       RunEndKind kind) {
+  Release(vm, run);
+  ++counts_.lapsed;
+  Job* job = Find(run.task.workflow);
+  if (job == nullptr) return;
+  job->progress.OnEnded(run.task, run.run, kind, "");
+  Decide(run.task.workflow, "run_let_go",
+         RunOnVm(run, name) + ": " + std::string(RunEndKindName(kind)));
+}
+
+void Dispatcher::LetGoAll(const std::string& name, Vm& vm) {
+  while (!vm.held.empty()) {
+    LetGo(name, vm, vm.held.begin()->first, RunEndKind::kLapsed);
+  }
+}
+
+bool Dispatcher::AllKnown(const VmInventory& inventory) {
+  const auto known = [this](const RunRef& run) {
+    return Knows(run.task.workflow);
+  };
+  return std::all_of(inventory.running.begin(), inventory.running.end(),
+                     known) &&
+         std::all_of(inventory.ended.begin(), inventory.ended.end(),
+                     [&](const RunEnd& end) { return known(end.run); });
+}
+
+void Dispatcher::Adopt(const std::string& name, Vm& vm, const RunRef& run,
+                       TimePoint now) {
+  Job* job = Find(run.task.workflow);
+  if (job != nullptr && job->progress.Has(run.task)) {
+    const WorkflowProgress::Task& task = job->progress.At(run.task);
+    Hold(vm, run, job->progress.workflow().steps[run.task.step]);
+    if (!job->progress.over() &&
+        task.phase == WorkflowProgress::Phase::kWaiting &&
+        run.run >= task.run) {
+      job->progress.OnStarted(run.task, run.run, name, now);
+      ++counts_.adopted;
+      Decide(run.task.workflow, "run_adopted", RunOnVm(run, name));
+      return;
+    }
+  }
+  ++counts_.stray_stops;
+  Stop(name, vm, run);
+}
+
+void Dispatcher::TakeInventoryStatus(const std::string& name, Vm& vm,
+                                     const VmStatus& status) {
+  if (status.life != vm.status.life) {
+    // Another life of the runner: all that the earlier one ran is gone.
+    LetGoAll(name, vm);
+    vm.processed = 0;
+    vm.settled = 0;
+  }
+  vm.status = status;
+}
+
+void Dispatcher::StopMissing(const std::string& name, Vm& vm,
+                             const VmInventory& inventory) {
+  std::set<RunRef> there(inventory.running.begin(), inventory.running.end());
+  there.insert(inventory.pending.begin(), inventory.pending.end());
+  for (const auto& [run, held] : std::map<RunRef, HeldRun>(vm.held)) {
+    if (there.count(run) > 0) continue;
+    // The start may still be on its way; a stop settles that.
+    vm.held[run].stopping = false;
+    Stop(name, vm, run);
+  }
+}
+
+bool Dispatcher::OnInventory(const std::string& vm,
+                             const VmInventory& inventory, TimePoint now) {
+  Vm& state = vms_[vm];
+  if (inventory.epoch != options_.epoch) return true;
+  if (!AllKnown(inventory) && state.unknown_tries < kUnknownTries) {
+    ++state.unknown_tries;
+    return false;
+  }
+  state.unknown_tries = 0;
+  TakeInventoryStatus(vm, state, inventory.status);
+  state.answered = true;
+  // Good until the first lease: what is reported here runs under leases that
+  // are not longer than ours.
+  state.lease_bound = std::max(state.lease_bound, now + options_.lease_term);
+  for (const RunEnd& end : inventory.ended) ApplyEnd(vm, state, end, now);
+  StopMissing(vm, state, inventory);
+  for (const RunRef& run : inventory.running) {
+    if (state.held.count(run) == 0) Adopt(vm, state, run, now);
+  }
+  SendTraits(vm, state);
+  Account(vm);
+  return true;
+}
+
+void Dispatcher::SendTraits(const std::string& name, const Vm& vm) {
+  RunTraitsList list{options_.epoch, vm.status.life, {}};
+  for (const auto& [run, held] : vm.held) {
+    const Job* job = Find(run.task.workflow);
+    if (job == nullptr) continue;
+    const WorkflowStep& step = job->progress.workflow().steps[run.task.step];
+    if (step.fills || step.tail_target > Duration(0)) {
+      list.runs.push_back({run, step.image, step.fills, step.tail_target});
+    }
+  }
+  if (!list.runs.empty()) Send(name, std::move(list));
+}
+
+void Dispatcher::NoteOutcome(const std::string& name, Job& job,
+                             const RunEnd& end, TimePoint now) {
+  const bool failed = end.kind == RunEndKind::kFailed;
+  if (!failed && end.kind != RunEndKind::kDone) return;
+  ++(failed ? counts_.failed : counts_.done);
+  const TaskRef& ref = end.run.task;
+  health_.OnEnded(name, ref.workflow, failed, now);
+  if (!failed) return;
+  WorkflowProgress::Task& task = job.progress.At(ref);
+  task.avoid_vm = name;
+  if (!job.progress.workflow().steps[ref.step].long_running) {
+    task.not_before = now + kRetryPause;
+  }
+}
+
+void Dispatcher::ApplyEnd(const std::string& name, Vm& vm, const RunEnd& end,
+                          TimePoint now) {
+  if (end.number <= vm.processed) return;
+  vm.processed = end.number;
+  const RunRef& run = end.run;
+  Release(vm, run);
+  Job* job = Find(run.task.workflow);
+  if (job == nullptr || !job->progress.Has(run.task)) return;
+  Decide(run.task.workflow, "run_ended",
+         RunOnVm(run, name) + ": " + std::string(RunEndKindName(end.kind)));
+  const WorkflowProgress::Task& task = job->progress.At(run.task);
+  const bool held_elsewhere =
+      task.phase == WorkflowProgress::Phase::kHeld && task.run != run.run;
+  const RunRef other{run.task, task.run};
+  const std::string other_vm = task.vm;
+  const bool was_over = job->progress.over();
+  NoteOutcome(name, *job, end, now);
+  if (job->progress.OnEnded(run.task, run.run, end.kind, end.checkpoint)) {
+    MarkDirty(*job);
+  }
+  if (end.kind == RunEndKind::kDone && held_elsewhere &&
+      task.phase == WorkflowProgress::Phase::kDone) {
+    Stop(other_vm, vms_[other_vm], other);
+  }
+  if (!was_over && job->progress.over()) {
+    Decide(run.task.workflow, "workflow_over",
+           std::string(WorkflowStateName(job->progress.state())));
+    OnOver(*job, now);
+  }
+}
+
+void Dispatcher::ApplyNotBegun(const std::string& name, Vm& vm,
+                               const RunNotBegun& refused, TimePoint now) {
+  const RunRef& run = refused.run;
+  if (vm.held.count(run) == 0) return;
+  Release(vm, run);
+  ++counts_.not_begun;
+  Job* job = Find(run.task.workflow);
+  if (job == nullptr) return;
+  job->progress.OnEnded(run.task, run.run, RunEndKind::kNotBegun, "");
+  job->progress.At(run.task).not_before = now + kRetryPause;
+  if (refused.reason == NotBegunReason::kUnreachable) {
+    vm.not_before = now + kUnreachablePause;
+  } else if (refused.reason != NotBegunReason::kStopped) {
+    vm.not_before = now + kNoRoomPause;
+  }
+  Decide(run.task.workflow, "run_not_begun",
+         RunOnVm(run, name) + ": " +
+             std::string(NotBegunReasonName(refused.reason)));
+}
+
+void Dispatcher::OnReports(const std::string& vm, const RunReports& reports,
+                           TimePoint now) {
+  Vm& state = vms_[vm];
+  if (reports.epoch != options_.epoch || !state.answered ||
+      reports.life != state.status.life) {
+    return;
+  }
+  for (const RunEnd& end : reports.ended) ApplyEnd(vm, state, end, now);
+  for (const RunNotBegun& refused : reports.not_begun) {
+    ApplyNotBegun(vm, state, refused, now);
+  }
+}
+
+}  // namespace beamhill
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -175,7 +175,7 @@
   std::vector<VmMessage> TakeMessages();
   // At most one is out at a time; nothing when there is nothing to store.
   std::optional<DispatchCommit> TakeCommit(TimePoint now);
-  void OnCommitted(TimePoint now);
+  void OnCommitted();
   void OnCommitFailed();
 
   uint64_t epoch() const { return options_.epoch; }
@@ -248,6 +248,8 @@
     uint64_t processed = 0;  // Highest end taken in, of this life.
     uint64_t settled = 0;    // Highest end reported as durable.
   };
+  // By VM: the life of its runner and the number of an end.
+  using EndsByVm = std::map<std::string, std::pair<std::string, uint64_t>>;
   struct OpenStepRef {
     Job* job;
     WorkflowProgress::OpenStep open;
@@ -256,32 +258,59 @@
   Dispatcher(const DispatcherOptions& options, DecisionHook on_decision,
              TimePoint now);
 
+  // Null when it isn't known.
   Job* Find(const std::string& workflow);
+  // To be stored with the next commit.
   void MarkDirty(Job& job);
   void Send(const std::string& vm, DispatchMessage message);
   void Decide(const std::string& workflow, const char* event,
               const std::string& detail);
+  // The VM's work under earlier owners is known.
   void Account(const std::string& vm);
+  void OnOver(Job& job, TimePoint now);
+  void ExpireLeases(TimePoint now);
+  // Whether the bound is past, and the ownership confirmed since.
+  bool IsPast(TimePoint bound, TimePoint now) const;
 
+  // In dispatch_runs.cc.
   void Hold(Vm& vm, const RunRef& run, const WorkflowStep& step);
   void Release(Vm& vm, const RunRef& run);
   void Stop(const std::string& name, Vm& vm, const RunRef& run);
   void StopAllOf(Job& job);
+  // Moves off a draining VM what can't end there: its runs are stopped, and
+  // start again elsewhere from their checkpoints.
+  void Evacuate(const std::string& name, Vm& vm);
   // Takes the run by value: it may lie in the table that it is erased from.
   void LetGo(const std::string& name, Vm& vm, RunRef run, RunEndKind kind);
   void LetGoAll(const std::string& name, Vm& vm);
+  // Whether every workflow with a run in the inventory is known here.
+  bool AllKnown(const VmInventory& inventory);
+  // Takes over a run that an inventory shows; stops it when it is no run of
+  // a waiting task.
+  void Adopt(const std::string& name, Vm& vm, const RunRef& run, TimePoint now);
+  void TakeInventoryStatus(const std::string& name, Vm& vm,
+                           const VmStatus& status);
+  // Stops the held runs that an inventory doesn't show.
+  void StopMissing(const std::string& name, Vm& vm,
+                   const VmInventory& inventory);
+  void SendTraits(const std::string& name, const Vm& vm);
+  // Counts a run that was done or failed, and its VM's part in that.
+  void NoteOutcome(const std::string& name, Job& job, const RunEnd& end,
+                   TimePoint now);
   void ApplyEnd(const std::string& name, Vm& vm, const RunEnd& end,
                 TimePoint now);
   void ApplyNotBegun(const std::string& name, Vm& vm,
                      const RunNotBegun& refused, TimePoint now);
-  void Adopt(const std::string& name, Vm& vm, const RunRef& run, TimePoint now);
-  bool AllKnown(const VmInventory& inventory);
-  void OnOver(Job& job, TimePoint now);
-  void SendTraits(const std::string& name, const Vm& vm);
-  void Evacuate(const std::string& name, Vm& vm);
-  void ExpireLeases(TimePoint now);
-  bool IsPast(TimePoint bound, TimePoint now) const;
-  void Settle(const std::map<std::string, std::pair<std::string, uint64_t>>&);
+
+  // In dispatch_commit.cc.
+  // The highest end taken in of each VM where it is not settled yet.
+  EndsByVm UnsettledEnds() const;
+  // Tells the executors that these ends may be forgotten.
+  void Settle(const EndsByVm& ends);
+  // Workflows that changed, as far as one transaction holds them.
+  void AddProgress(DispatchCommit& commit);
+  // Workflows past their retention, in the room that is left.
+  void AddForgotten(DispatchCommit& commit, TimePoint now) const;
 
   // In dispatch_advice.cc.
   bool HasAdvice(Job& job, const WorkflowProgress::OpenStep& open,
@@ -339,8 +368,7 @@
   bool commit_out_ = false;
   std::vector<std::string> in_commit_;
   std::vector<std::string> forgetting_;
-  // VM to life and end number that the commit in flight makes durable.
-  std::map<std::string, std::pair<std::string, uint64_t>> settling_;
+  EndsByVm settling_;  // What the commit in flight makes durable.
 
   // Starts of the current tick, by VM and step.
   std::map<std::pair<std::string, TaskRef>, StartRuns> starts_;
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -121,7 +121,7 @@
 
   bool Store() {
     if (!dispatcher_->TakeCommit(now_)) return false;
-    dispatcher_->OnCommitted(now_);
+    dispatcher_->OnCommitted();
     return true;
   }
 
@@ -323,7 +323,7 @@
   End("vm-1", 1, starts[0].second, RunEndKind::kDone);
   ASSERT_TRUE(dispatcher_->TakeCommit(now_));
   End("vm-1", 2, starts[1].second, RunEndKind::kDone);
-  dispatcher_->OnCommitted(now_);
+  dispatcher_->OnCommitted();
   EXPECT_THAT(Take().settled, ElementsAre(std::pair("vm-1", 1)));
   EXPECT_EQ(dispatcher_->StateOf("a"), WorkflowState::kRunning);
   ASSERT_TRUE(Store());
@@ -559,7 +559,7 @@
   const auto commit = dispatcher_->TakeCommit(now_);
   ASSERT_TRUE(commit);
   EXPECT_THAT(commit->forgotten, ElementsAre("a"));
-  dispatcher_->OnCommitted(now_);
+  dispatcher_->OnCommitted();
   EXPECT_FALSE(dispatcher_->Knows("a"));
 }
 
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -411,7 +411,7 @@
   const TimePoint now = BootClock::now();
   if (committed) {
     metrics_.commit->Record(now - sent_at);
-    dispatcher_->OnCommitted(now);
+    dispatcher_->OnCommitted();
   } else {
     Log(LogLevel::kWarning, "commit_failed", {{"epoch", options_.epoch}});
     dispatcher_->OnCommitFailed();
