--- /dev/null
+++ b/beamhill/dispatch/dispatch_placement_test.cc
@@ -0,0 +1,128 @@
+// Where the Dispatcher starts tasks, and how it asks the placement advisor.
+#include "beamhill/dispatch/dispatcher_test_base.h"
+
+namespace beamhill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::ElementsAre;
+using testing::IsEmpty;
+using testing::SizeIs;
+
+TEST_F(DispatcherTest, HonoursLabelsAndSpread) {
+  labels_["vm-2"] = {"b", "r2"};
+  Take({});
+  Link("vm-1");
+  Link("vm-2");
+  Workflow labelled = OneStep("a", 1, 2);
+  labelled.steps[0].required_label = "b";
+  dispatcher_->AddWorkflow(labelled, std::nullopt, now_);
+  EXPECT_EQ(Tick().starts[0].first, "vm-2");
+  Workflow spread = OneStep("b", 3, 2);
+  spread.steps[0].max_per_vm = 1;
+  dispatcher_->AddWorkflow(spread, std::nullopt, now_);
+  const auto starts = Tick().starts;
+  ASSERT_THAT(starts, SizeIs(2));
+  EXPECT_NE(starts[0].first, starts[1].first);
+}
+
+TEST_F(DispatcherTest, PrefersTheRackOfTheData) {
+  racks_["vm-2"] = "r2";
+  Take({});
+  Link("vm-1");
+  Link("vm-2");
+  Workflow near = OneStep("a", 2, 2);
+  near.steps[0].near_rack = "r2";
+  dispatcher_->AddWorkflow(near, std::nullopt, now_);
+  for (const auto& [vm, run] : Tick().starts) EXPECT_EQ(vm, "vm-2");
+}
+
+TEST_F(DispatcherTest, GangStartsWholeWithOneRunOrNotAtAll) {
+  Take({});
+  Link("vm-1");
+  Workflow gang = OneStep("a", 6, 2);
+  gang.steps[0].gang = true;
+  dispatcher_->AddWorkflow(gang, std::nullopt, now_);
+  EXPECT_THAT(Tick().starts, IsEmpty());
+  Link("vm-2");
+  const auto starts = Tick().starts;
+  ASSERT_THAT(starts, SizeIs(6));
+  for (const auto& [vm, run] : starts) EXPECT_EQ(run.run, starts[0].second.run);
+}
+
+TEST_F(DispatcherTest, FillersNeedMemoryButNoRoomForTheirProcessors) {
+  Take({});
+  Link("vm-1");
+  Workflow serving = OneStep("s", 1, 2);
+  serving.steps[0].each = {8000, 1000, 0};
+  serving.steps[0].tail_target = milliseconds(20);
+  serving.steps[0].long_running = true;
+  dispatcher_->AddWorkflow(serving, std::nullopt, now_);
+  ASSERT_THAT(Tick().starts, SizeIs(1));
+  Workflow filling = OneStep("f", 1, 2);
+  filling.steps[0].fills = true;
+  dispatcher_->AddWorkflow(filling, std::nullopt, now_);
+  EXPECT_THAT(Tick().starts, SizeIs(1));
+  Workflow large = OneStep("g", 1, 2);
+  large.steps[0].fills = true;
+  large.steps[0].each.memory_mib = 16000;
+  dispatcher_->AddWorkflow(large, std::nullopt, now_);
+  EXPECT_THAT(Tick().starts, IsEmpty());
+}
+
+class DispatcherAdviceTest : public DispatcherTest {
+ protected:
+  void AddRestricted() {
+    Workflow workflow = OneStep("a", 2, 2);
+    workflow.policy.needs_advice = true;
+    dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
+  }
+};
+
+TEST_F(DispatcherAdviceTest, StartsOnlyWhereAdvisedWithTheTicket) {
+  Take({});
+  Link("vm-1");
+  Link("vm-2");
+  AddRestricted();
+  EXPECT_THAT(Tick().starts, IsEmpty());
+  const auto requests = dispatcher_->TakeAdviceRequests();
+  ASSERT_THAT(requests, SizeIs(1));
+  EXPECT_THAT(requests[0].lives, ElementsAre("vm-1-life-1", "vm-2-life-1"));
+  dispatcher_->OnAdvice(requests[0].step,
+                        Advice{{{"vm-2-life-1", "t"}}, seconds(3)}, now_);
+  dispatcher_->Tick(now_, kUnix);
+  int starts = 0;
+  for (const VmMessage& out : dispatcher_->TakeMessages()) {
+    const auto* start = std::get_if<StartRuns>(&out.message);
+    if (start == nullptr) continue;
+    EXPECT_EQ(out.vm, "vm-2");
+    for (const StartRun& run : start->runs) {
+      EXPECT_EQ(run.ticket, "t");
+      ++starts;
+    }
+  }
+  EXPECT_EQ(starts, 2);
+}
+
+TEST_F(DispatcherAdviceTest, AsksAgainAfterAPauseAndWhenTicketsEnd) {
+  Take({});
+  Link("vm-1");
+  AddRestricted();
+  Tick();
+  const TaskRef step = dispatcher_->TakeAdviceRequests()[0].step;
+  Tick();
+  EXPECT_THAT(dispatcher_->TakeAdviceRequests(), IsEmpty());
+  dispatcher_->OnAdvice(step, std::nullopt, now_);
+  Tick();
+  EXPECT_THAT(dispatcher_->TakeAdviceRequests(), IsEmpty());
+  Pass(milliseconds(500), {"vm-1"});
+  EXPECT_THAT(dispatcher_->TakeAdviceRequests(), SizeIs(1));
+  dispatcher_->OnAdvice(step, Advice{{{"vm-1-life-1", "t"}}, milliseconds(100)},
+                        now_);
+  EXPECT_THAT(Tick().starts, IsEmpty());
+  EXPECT_THAT(dispatcher_->TakeAdviceRequests(), SizeIs(1));
+}
+
+}  // namespace
+}  // namespace beamhill
