Split the Executor's source by its parts

Orders, looks at the runner and pacing now stand in files of their own, and Tick calls a named step for each of its matters. The comment on the pause after a leave stands at its option again. Behaviour is the same.

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -36,9 +36,9 @@
   // Without an answer for so long the runner counts as out of reach, and no
   // more leases are asked for.
   Duration runner_lost_after = std::chrono::milliseconds(1500);
-  // After a runner says that it leaves, its tasks may live on for so long.
   // Added to the end of a lease before it is believed to be over.
   Duration lease_margin = std::chrono::milliseconds(500);
+  // After a runner says that it leaves, its tasks may live on for so long.
   Duration leave_pause = std::chrono::milliseconds(600);
 };
 
@@ -102,40 +102,60 @@
 
   void OnAttach(uint64_t link, const Attach& attach);
   void OnRenew(const RenewLease& renew);
-  void OnStartRuns(const StartRuns& starts);
-  void OnStopRuns(const StopRuns& stops);
-  void OnSettled(const EndsSettled& settled);
-  void OnTraits(const RunTraitsList& list);
-  void OnWeights(const PressureWeights& learned);
+  // Whether it comes from the owner that is obeyed, and concerns the runner's
+  // present life; counts those that don't.
   bool IsCurrent(uint64_t link, uint64_t epoch, const std::string& life);
+  // Forgets all that belongs to one life of the runner.
+  void ResetLife();
+  void NoteClock(const std::optional<RunnerClock>& clock);
+  // The end of the granted lease by the runner's clock; nothing without a
+  // lease or a reading of that clock.
+  std::optional<RunnerClock> LeaseEndForRunner() const;
+  void SendToOwner(const DispatchMessage& message);
+  // Some time after a runner said that it leaves.
+  void ForgetLeftRunner(TimePoint now);
+  // Tells the owner that nothing runs, once every lease is over.
+  void GiveUpSilentRunner(TimePoint now);
+  void SendHeartbeat(TimePoint now);
 
+  // In executor_orders.cc.
+  void OnStartRuns(const StartRuns& starts);
+  void OnStopRuns(const StopRuns& stops);
   void StartOne(const StartRuns& starts, const StartRun& start);
   void OnStartReply(const RunRef& run, const RunnerReply& reply);
   void CallStop(const RunRef& run, Order& order);
+  void RetryStops(TimePoint now);
   void OnStopReply(const RunRef& run, const RunnerReply& reply);
+  // Tells the owner that the run never begins.
   void NotBegun(const RunRef& run, NotBegunReason reason);
+  // What a look that was sent after a call shows is what became of the call.
+  void ResolveOrders(const RunnerView& view, TimePoint sent_at);
 
+  // In executor_looks.cc.
+  void OnSettled(const EndsSettled& settled);
+  // Asks the runner what it holds; it may wait so long for an end.
   void Look(std::chrono::milliseconds wait);
   void LookSoon();
+  void LookIfDue(TimePoint now);
+  std::chrono::milliseconds NextWait() const;
   void OnView(const RunnerView& view, TimePoint sent_at, uint64_t epoch,
               const std::string& life);
-  void ResolveOrders(const RunnerView& view, TimePoint sent_at);
+  void ReportEnds(const RunnerView& view);
   void SendInventory(const RunnerView& view);
   void SendEmptyInventory();
   // Whether nothing can run on the VM any more, though its runner does not
   // answer: only this process calls it, and every lease that it or an earlier
   // run of it can have given has run out.
   bool AllLeasesOver(TimePoint now) const;
-  void ReportEnds(const RunnerView& view);
+
+  // In executor_pacing.cc.
+  void OnTraits(const RunTraitsList& list);
+  void OnWeights(const PressureWeights& learned);
   void Pace(const RunnerView& view, TimePoint now);
   void OrderPace(const RunRef& run, int percent);
+  // One tail for each serving image, the worst: its tasks on a VM share fate.
   void ReportPressure(const std::vector<ServingSample>& serving,
                       const Pacer::FillingShares& filling, TimePoint now);
-  void ResetLife();
-  void NoteClock(const std::optional<RunnerClock>& clock);
-  std::optional<RunnerClock> LeaseEndForRunner() const;
-  std::chrono::milliseconds NextWait() const;
-  void SendToOwner(const DispatchMessage& message);
 
   ExecutorOptions options_;
   TaskRunner runner_;
--- /dev/null
+++ b/beamhill/executor/executor_looks.cc
@@ -0,0 +1,138 @@
+// The part of Executor that looks at what the runner holds, and tells the owner
+// what it sees.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "beamhill/executor/executor.h"
+
+namespace beamhill {
+namespace {
+
+using std::chrono::milliseconds;
+
+// How long a look waits for an end: short while pacing needs fresh figures.
+constexpr milliseconds kPacedWait{250};
+constexpr milliseconds kQuietWait{1000};
+// While ends wait to be settled a look returns at once, so it is repeated
+// only so often.
+constexpr Duration kUnsettledPause = std::chrono::milliseconds(70);
+constexpr Duration kLostPause = std::chrono::milliseconds(250);
+constexpr int kMaxLooksOpen = 2;
+
+}  // namespace
+
+void Executor::OnSettled(const EndsSettled& settled) {
+  if (settled.through <= settled_) return;
+  settled_ = settled.through;
+  LookSoon();
+}
+
+milliseconds Executor::NextWait() const {
+  if (highest_listed_ > settled_) return milliseconds(0);
+  const bool paced = std::any_of(
+      traits_.begin(), traits_.end(),
+      [](const auto& entry) { return entry.second.tail_target > Duration(0); });
+  return paced ? kPacedWait : kQuietWait;
+}
+
+void Executor::LookSoon() {
+  if (looks_open_ < kMaxLooksOpen) {
+    Look(milliseconds(0));
+  } else {
+    next_look_ = hooks_.now();
+  }
+}
+
+void Executor::LookIfDue(TimePoint now) {
+  if (now >= next_look_ && looks_open_ < kMaxLooksOpen && !slow_look_open_) {
+    Look(NextWait());
+  }
+}
+
+void Executor::Look(milliseconds wait) {
+  if (status_.life.empty() || epoch_ == 0) return;
+  ++looks_open_;
+  ++counts_.looks;
+  const bool slow = wait > milliseconds(0);
+  if (slow) slow_look_open_ = true;
+  const TimePoint sent_at = hooks_.now();
+  RunnerLook call{status_.life, epoch_, settled_, LeaseEndForRunner(), wait};
+  runner_.look(std::move(call),
+               lifetime_.Guard([this, sent_at, slow, epoch = epoch_,
+                                life = status_.life](RunnerView view) {
+                 --looks_open_;
+                 if (slow) slow_look_open_ = false;
+                 OnView(view, sent_at, epoch, life);
+               }));
+}
+
+void Executor::OnView(const RunnerView& view, TimePoint sent_at, uint64_t epoch,
+                      const std::string& life) {
+  const TimePoint now = hooks_.now();
+  if (epoch != epoch_ || life != status_.life) {
+    next_look_ = now;
+    return;
+  }
+  if (view.reply.verdict != RunnerVerdict::kDone) {
+    next_look_ = now + kLostPause;
+    if (view.reply.verdict == RunnerVerdict::kFenced) {
+      hooks_.log("fenced", "", "epoch " + std::to_string(epoch));
+    }
+    return;
+  }
+  NoteClock(view.reply.clock);
+  last_answer_ = now;
+  for (const RunEnd& end : view.ended) {
+    highest_listed_ = std::max(highest_listed_, end.number);
+    traits_.erase(end.run);
+  }
+  if (inventory_wanted_ && owner_link_) SendInventory(view);
+  ReportEnds(view);
+  ResolveOrders(view, sent_at);
+  Pace(view, now);
+  next_look_ = highest_listed_ > settled_ ? now + kUnsettledPause : now;
+  if (next_look_ <= now && !slow_look_open_) Look(NextWait());
+}
+
+void Executor::SendInventory(const RunnerView& view) {
+  VmInventory inventory;
+  inventory.epoch = epoch_;
+  inventory.status = status_;
+  for (const RunningRun& running : view.running) {
+    inventory.running.push_back(running.run);
+  }
+  for (const auto& [run, order] : orders_) inventory.pending.push_back(run);
+  inventory.ended = view.ended;
+  inventory_wanted_ = false;
+  reported_ = highest_listed_;
+  SendToOwner(inventory);
+  // Asks for a lease at once.
+  last_heartbeat_ = hooks_.now();
+  SendToOwner(VmHeartbeat{epoch_, last_heartbeat_});
+}
+
+void Executor::SendEmptyInventory() {
+  VmInventory inventory;
+  inventory.epoch = epoch_;
+  SendToOwner(inventory);
+}
+
+bool Executor::AllLeasesOver(TimePoint now) const {
+  const TimePoint earlier_runs = started_at_ + options_.max_lease;
+  const TimePoint last = std::max(lease_end_, earlier_runs);
+  const bool silent = now - last_answer_ >= options_.runner_lost_after;
+  return silent && now >= last + options_.lease_margin;
+}
+
+void Executor::ReportEnds(const RunnerView& view) {
+  RunReports reports{epoch_, status_.life, {}, {}};
+  for (const RunEnd& end : view.ended) {
+    if (end.number > reported_) reports.ended.push_back(end);
+  }
+  if (reports.ended.empty() || !owner_link_) return;
+  reported_ = highest_listed_;
+  SendToOwner(reports);
+}
+
+}  // namespace beamhill
