Split the Scheduler's source by its parts

Calls and talk with peers now stand in files of their own. Questions and relayed calls shared the same table of open calls with a timeout, written twice: OpenCalls holds it once. The key of a cancellation's notice is made in one place. Members that nothing read are gone, and the header's example shows calls that exist. Behaviour is the same.

--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -13,19 +13,11 @@
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(300);
 // What a peer said longer ago may no longer hold.
 constexpr Duration kFreshHeartbeat = std::chrono::milliseconds(800);
-constexpr Duration kRelayTimeout = std::chrono::milliseconds(700);
-// How long a new owner keeps trying to reach those that may not have heard.
-constexpr Duration kAnnounceFor = std::chrono::seconds(8);
-constexpr Duration kQuestionTimeout = std::chrono::milliseconds(400);
 // An owner's link that is silent for so long is dialed anew.
 constexpr Duration kOwnerSilence = std::chrono::milliseconds(2500);
 // An owner that the table has not answered for so long hands over to a peer
 // that is still served.
 constexpr Duration kCutOffAfter = std::chrono::milliseconds(2600);
-// A notice that no owner has confirmed for so long is left to the markers in
-// the table. Far below the time that finished workflows are kept, so that a
-// late notice can't bring one back.
-constexpr Duration kNoticeLife = std::chrono::seconds(30);
 // Added to inherited bounds for messages on their way.
 constexpr Duration kBoundMargin = std::chrono::milliseconds(500);
 
@@ -49,7 +41,9 @@
       hooks_(std::move(hooks)),
       random_(RandomSeed()),
       incarnation_(random_() >> 1),
-      desk_(table) {
+      desk_(table),
+      questions_(loop),
+      relays_(loop) {
   owner_metrics_.commit = &metrics.AddLatency(
       "beamhill_commit_latency", "From sending a transaction to its answer.");
   owner_metrics_.starts =
@@ -141,340 +135,6 @@
       std::make_unique<DialedPeer>(loop_, ValueOf(address), std::move(hooks));
 }
 
-SchedulerHeartbeat Scheduler::Heartbeat() const {
-  SchedulerHeartbeat beat;
-  beat.name = settings_.name;
-  beat.address = ToString(settings_.peers);
-  beat.incarnation = incarnation_;
-  beat.epoch = keeper_->owns() ? keeper_->epoch() : 0;
-  beat.store_answers = hooks_.store_answers();
-  beat.settings_version = hooks_.settings_version();
-  if (keeper_->owns()) {
-    for (const auto& [link, peer] : peers_) {
-      if (!peer.last.address.empty()) beat.peers.push_back(peer.last.address);
-    }
-  }
-  return beat;
-}
-
-void Scheduler::ShareSettings(
-    uint64_t peers_version,
-    const std::function<void(const DispatchMessage&)>& send) {
-  if (peers_version >= hooks_.settings_version()) return;
-  send(ServiceSettingsCopy{hooks_.settings_version(),
-                           hooks_.settings_document()});
-}
-
-void Scheduler::OnOwnerMessage(const DispatchMessage& message) {
-  if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
-    if (beat->epoch >= followed_.epoch) keeper_->OnOwnerHeard(beat->epoch);
-    owner_store_answers_ = beat->store_answers;
-    known_peers_.insert(beat->peers.begin(), beat->peers.end());
-    if (!beat->store_answers) keeper_->OnOwnerCutOff();
-    if (beat->incarnation != followed_.incarnation) {
-      keeper_->OnOwnerGone(followed_.incarnation);
-    }
-    ShareSettings(beat->settings_version,
-                  [this](const DispatchMessage& m) { owner_peer_->Send(m); });
-  } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
-    hooks_.on_settings_copy(copy->version, copy->document);
-  } else if (const auto* taken = std::get_if<NoticeTaken>(&message)) {
-    notices_.erase(taken->workflow);
-  } else if (const auto* over = std::get_if<HandOver>(&message)) {
-    keeper_->OnHandOver(over->epoch);
-  } else if (const auto* result = std::get_if<RelayedResult>(&message)) {
-    const auto it = relays_.find(result->id);
-    if (it == relays_.end()) return;
-    const auto done = std::move(it->second.done);
-    relays_.erase(it);
-    done(result->result);
-  } else if (const auto* answer = std::get_if<Answer>(&message)) {
-    const auto it = questions_.find(answer->id);
-    if (it == questions_.end()) return;
-    const auto done = std::move(it->second.done);
-    questions_.erase(it);
-    done(*answer);
-  }
-}
-
-LinkHooks Scheduler::OnAccept(Link& link) {
-  peers_[&link].link = &link;
-  LinkHooks hooks;
-  hooks.on_message = [this](Link& l, std::string_view frame) {
-    OnPeerFrame(l, frame);
-  };
-  hooks.on_close = [this](Link& l) { peers_.erase(&l); };
-  return hooks;
-}
-
-void Scheduler::OnPeerFrame(Link& link, std::string_view frame) {
-  const Result<DispatchMessage> message = DecodeDispatch(frame);
-  if (!IsOk(message)) {
-    Log(LogLevel::kWarning, "bad_message",
-        {{"error", ErrorOf(message).message}});
-    link.Close();
-    return;
-  }
-  OnPeerMessage(peers_.at(&link), ValueOf(message));
-}
-
-void Scheduler::OnPeerMessage(Peer& peer, const DispatchMessage& message) {
-  const auto send = [&peer](const DispatchMessage& m) {
-    peer.link->Send(EncodeDispatch(m));
-  };
-  if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
-    peer.last = *beat;
-    peer.heard_at = BootClock::now();
-    send(Heartbeat());
-    ShareSettings(beat->settings_version, send);
-  } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
-    hooks_.on_settings_copy(copy->version, copy->document);
-  } else if (const auto* stored = std::get_if<WorkflowStored>(&message)) {
-    if (!owner_ || !owner_->loaded()) return;  // Repeated until confirmed.
-    owner_->OnWorkflowStored(stored->workflow);
-    send(NoticeTaken{stored->workflow.id});
-  } else if (const auto* cancel = std::get_if<CancelStored>(&message)) {
-    if (!owner_ || !owner_->loaded()) return;
-    owner_->OnCancelStored(cancel->workflow);
-    send(NoticeTaken{"cancel " + cancel->workflow});
-  } else if (const auto* announced = std::get_if<OwnerAnnounced>(&message)) {
-    keeper_->OnOwnerAnnounced(announced->record);
-  } else if (const auto* submit = std::get_if<RelayedSubmit>(&message)) {
-    ServeRelay(peer.link, *submit);
-  } else if (const auto* relayed = std::get_if<RelayedCancel>(&message)) {
-    ServeRelay(peer.link, *relayed);
-  } else if (const auto* question = std::get_if<Question>(&message)) {
-    AnswerQuestion(*peer.link, *question);
-  }
-}
-
-void Scheduler::AnswerQuestion(Link& link, const Question& question) {
-  Answer answer;
-  answer.id = question.id;
-  if (owner_ && keeper_->MayAct()) {
-    if (question.workflow.empty()) {
-      const auto waiting = owner_->WaitingIn(question.queue);
-      answer.known = waiting.has_value();
-      answer.waiting = waiting.value_or(0);
-    } else if (const auto state = owner_->StateOf(question.workflow); state) {
-      answer.known = true;
-      answer.state = *state;
-    }
-  }
-  link.Send(EncodeDispatch(answer));
-}
-
-void Scheduler::Ask(Question question,
-                    std::function<void(std::optional<Answer>)> done) {
-  if (!owner_peer_ || !owner_peer_->is_open()) {
-    done(std::nullopt);
-    return;
-  }
-  question.id = next_call_++;
-  const uint64_t id = question.id;
-  OpenQuestion& open = questions_[id];
-  open.done = std::move(done);
-  open.timeout = loop_.After(kQuestionTimeout, [this, id] {
-    const auto it = questions_.find(id);
-    const auto unanswered = std::move(it->second.done);
-    questions_.erase(it);
-    unanswered(std::nullopt);
-  });
-  owner_peer_->Send(question);
-}
-
-void Scheduler::Notify(const DispatchMessage& message, const std::string& key) {
-  notices_[key] = {message, BootClock::now()};
-  if (owner_peer_) owner_peer_->Send(message);
-}
-
-void Scheduler::SendNotices() {
-  for (const auto& [key, notice] : notices_) owner_peer_->Send(notice.message);
-}
-
-void Scheduler::TellOwner(const Workflow& workflow) {
-  if (owner_) {
-    owner_->OnWorkflowStored(workflow);
-  } else {
-    Notify(WorkflowStored{workflow}, workflow.id);
-  }
-}
-
-void Scheduler::SubmitHere(const Workflow& workflow,
-                           std::function<void(SubmitResult)> done) {
-  desk_.Submit(workflow, [this, workflow, done](SubmitResult result) {
-    if (result == SubmitResult::kAccepted) TellOwner(workflow);
-    done(result);
-  });
-}
-
-void Scheduler::CancelHere(const std::string& workflow,
-                           std::function<void(CancelResult)> done) {
-  desk_.Cancel(workflow, [this, workflow, done](CancelResult result) {
-    if (result == CancelResult::kCancelled) {
-      if (owner_) {
-        owner_->OnCancelStored(workflow);
-      } else {
-        Notify(CancelStored{workflow}, "cancel " + workflow);
-      }
-    }
-    done(result);
-  });
-}
-
-bool Scheduler::CanRelay() const {
-  return owner_peer_ && owner_peer_->is_open() && owner_store_answers_;
-}
-
-// Whether a call was stored, after it was tried here and then by the owner.
-// Only two refusals make a refusal.
-SubmitResult Scheduler::AfterRelay(SubmitResult here,
-                                   std::optional<uint8_t> relayed) {
-  if (!relayed) return SubmitResult::kUnknown;
-  const auto there = static_cast<SubmitResult>(*relayed);
-  const bool unsure = here == SubmitResult::kUnknown;
-  return there == SubmitResult::kRefused && unsure ? here : there;
-}
-
-// Either way of storing a submission or a cancellation may be tried after the
-// other whatever became of it: both change nothing the second time.
-void Scheduler::Submit(Workflow workflow,
-                       std::function<void(SubmitResult)> done) {
-  workflow.offered_to = keeper_->epoch();
-  const auto relay = [this, workflow, done](SubmitResult here) {
-    const uint64_t id = next_call_++;
-    Relay(id, RelayedSubmit{id, workflow},
-          [here, done](std::optional<uint8_t> result) {
-            done(AfterRelay(here, result));
-          });
-  };
-  if (!hooks_.store_answers() && CanRelay()) {
-    relay(SubmitResult::kRefused);
-    return;
-  }
-  SubmitHere(workflow, [this, relay, done](SubmitResult result) {
-    const bool stored = result == SubmitResult::kAccepted ||
-                        result == SubmitResult::kAlreadyStored;
-    if (stored || !CanRelay()) {
-      done(result);
-    } else {
-      relay(result);
-    }
-  });
-}
-
-void Scheduler::Cancel(const std::string& workflow,
-                       std::function<void(CancelResult)> done) {
-  const auto relay = [this, workflow, done] {
-    const uint64_t id = next_call_++;
-    Relay(id, RelayedCancel{id, workflow},
-          [done](std::optional<uint8_t> result) {
-            done(result ? static_cast<CancelResult>(*result)
-                        : CancelResult::kUnknown);
-          });
-  };
-  if (!hooks_.store_answers() && CanRelay()) {
-    relay();
-    return;
-  }
-  CancelHere(workflow, [this, relay, done](CancelResult result) {
-    if (result != CancelResult::kUnknown || !CanRelay()) {
-      done(result);
-    } else {
-      relay();
-    }
-  });
-}
-
-void Scheduler::Relay(uint64_t id, const DispatchMessage& call,
-                      std::function<void(std::optional<uint8_t>)> done) {
-  OpenRelay& open = relays_[id];
-  open.done = std::move(done);
-  open.timeout = loop_.After(kRelayTimeout, [this, id] {
-    const auto it = relays_.find(id);
-    const auto unanswered = std::move(it->second.done);
-    relays_.erase(it);
-    unanswered(std::nullopt);
-  });
-  owner_peer_->Send(call);
-}
-
-void Scheduler::ServeRelay(Link* link, const RelayedSubmit& call) {
-  Workflow workflow = call.workflow;
-  workflow.offered_to = keeper_->epoch();
-  SubmitHere(workflow, [this, link, id = call.id](SubmitResult result) {
-    AnswerRelay(link, id, static_cast<uint8_t>(result));
-  });
-}
-
-void Scheduler::ServeRelay(Link* link, const RelayedCancel& call) {
-  CancelHere(call.workflow, [this, link, id = call.id](CancelResult result) {
-    AnswerRelay(link, id, static_cast<uint8_t>(result));
-  });
-}
-
-void Scheduler::AnswerRelay(Link* link, uint64_t id, uint8_t result) {
-  if (peers_.count(link) == 0) return;  // It has gone meanwhile.
-  link->Send(EncodeDispatch(RelayedResult{id, result}));
-}
-
-// Tells every scheduler that this process knows of. The row says the same,
-// but not to those that the table turns away.
-void Scheduler::Announce() {
-  for (const std::string& text : known_peers_) {
-    const Result<Address> address = ParseAddress(text);
-    if (!IsOk(address) || text == ToString(settings_.peers)) continue;
-    const size_t index = announcements_.size();
-    DialedPeerHooks hooks;
-    hooks.on_open = [this, index] {
-      if (!keeper_->owns()) return;
-      announcements_[index]->Send(OwnerAnnounced{keeper_->record()});
-    };
-    hooks.on_message = [](const DispatchMessage&) {};
-    hooks.on_down = [](bool) {};
-    announcements_.push_back(std::make_unique<DialedPeer>(
-        loop_, ValueOf(address), std::move(hooks)));
-  }
-  end_announcements_ =
-      loop_.After(kAnnounceFor, [this] { announcements_.clear(); });
-}
-
-void Scheduler::StateOf(const std::string& workflow,
-                        std::function<void(StateResult)> done) {
-  if (owner_ && keeper_->MayAct()) {
-    if (const auto state = owner_->StateOf(workflow); state) {
-      done({true, state});
-      return;
-    }
-  }
-  Question question;
-  question.workflow = workflow;
-  Ask(question, [this, workflow, done](std::optional<Answer> answer) {
-    if (answer && answer->known) {
-      done({true, answer->state});
-      return;
-    }
-    desk_.StoredState(workflow, done);
-  });
-}
-
-void Scheduler::WaitingIn(const std::string& queue,
-                          std::function<void(std::optional<uint64_t>)> done) {
-  if (owner_ && owner_->loaded()) {
-    done(owner_->WaitingIn(queue));
-    return;
-  }
-  Question question;
-  question.queue = queue;
-  Ask(question, [done](std::optional<Answer> answer) {
-    if (answer && answer->known) {
-      done(answer->waiting);
-    } else {
-      done(std::nullopt);
-    }
-  });
-}
-
 Link* Scheduler::ServedPeer() {
   for (auto& [link, peer] : peers_) {
     const bool fresh = BootClock::now() - peer.heard_at < kFreshHeartbeat;
@@ -508,10 +168,7 @@
   keeper_->Tick();
   HandOverIfCutOff();
   const TimePoint now = BootClock::now();
-  for (auto it = notices_.begin(); it != notices_.end();) {
-    const bool old = now - it->second.since > kNoticeLife;
-    it = old ? notices_.erase(it) : std::next(it);
-  }
+  DropOldNotices(now);
   if (!owner_peer_) return;
   owner_peer_->CloseIfSilent(kOwnerSilence);
   if (now - last_heartbeat_ < kHeartbeatInterval) return;
@@ -520,7 +177,6 @@
 }
 
 void Scheduler::Leave(std::function<void()> done) {
-  leaving_ = true;
   if (!owner_) {
     keeper_->Release(std::move(done));
     return;
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -4,9 +4,8 @@
 // It knows nothing of the wire that callers use: an adaptor decodes requests
 // and calls Submit, Cancel, StateOf and WaitingIn.
 //
-//   auto scheduler = Scheduler::Start(loop, settings, table, metrics);
-//   scheduler->OnQueues(table);            // each new version of the settings
-//   scheduler->Submit(workflow, done);
+//   auto scheduler = Scheduler::Start(loop, settings, table, hooks, metrics);
+//   ValueOf(scheduler)->Submit(workflow, done);
 #ifndef BEAMHILL_SCHEDULER_SCHEDULER_H_
 #define BEAMHILL_SCHEDULER_SCHEDULER_H_
 
@@ -17,6 +16,8 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "beamhill/base/error.h"
 #include "beamhill/dispatch/ownership_keeper.h"
@@ -25,6 +26,7 @@
 #include "beamhill/metrics/metrics.h"
 #include "beamhill/scheduler/dialed_peer.h"
 #include "beamhill/scheduler/job_desk.h"
+#include "beamhill/scheduler/open_calls.h"
 #include "beamhill/scheduler/work_owner.h"
 #include "beamhill/table/table.h"
 
@@ -33,7 +35,9 @@
 struct SchedulerSettings {
   std::string name;
   Address peers;  // Where other schedulers dial this one.
+  // How long a VM's work may go on after its last heartbeat was answered.
   Duration lease_term = std::chrono::seconds(5);
+  // How long an owner may act without a transaction that took effect.
   Duration authority_term = std::chrono::seconds(8);
 };
 
@@ -50,6 +54,7 @@
 
 class Scheduler {
  public:
+  // Fails when it can't listen for peers.
   static Result<std::unique_ptr<Scheduler>> Start(
       EventLoop& loop, const SchedulerSettings& settings, Table table,
       SchedulerHooks hooks, Metrics& metrics);
@@ -57,16 +62,21 @@
   Scheduler(const Scheduler&) = delete;
   Scheduler& operator=(const Scheduler&) = delete;
 
+  // Stores the workflow, here or through the owner; `done` runs once.
   void Submit(Workflow workflow, std::function<void(SubmitResult)> done);
+  // Stores a cancellation, here or through the owner; `done` runs once.
   void Cancel(const std::string& workflow,
               std::function<void(CancelResult)> done);
+  // As the owner knows it, or else as far as it is stored.
   void StateOf(const std::string& workflow,
                std::function<void(StateResult)> done);
-  // What a submission came to that was tried here and then relayed; nothing
-  // when the relay had no answer.
+  // What a submission came to that was tried here and then by the owner;
+  // `relayed` is the number of the owner's result, or nothing without an
+  // answer. Only two refusals make a refusal.
   static SubmitResult AfterRelay(SubmitResult here,
                                  std::optional<uint8_t> relayed);
-  // Empty when the owner can't be asked.
+  // Workflows of the queue of which nothing has begun; nothing when the owner
+  // can't be asked.
   void WaitingIn(const std::string& queue,
                  std::function<void(std::optional<uint64_t>)> done);
 
@@ -74,6 +84,7 @@
   void Leave(std::function<void()> done);
 
   bool owns() const { return keeper_->owns(); }
+  // What it knows, in lines for operators.
   std::string Dump() const;
 
  private:
@@ -82,29 +93,52 @@
     SchedulerHeartbeat last;
     TimePoint heard_at{};
   };
-  struct OpenRelay {
-    // The number of the result; nothing when no answer came.
-    std::function<void(std::optional<uint8_t>)> done;
-    Timer timeout;
-  };
-  struct OpenQuestion {
-    std::function<void(std::optional<Answer>)> done;
-    Timer timeout;
+  struct Notice {
+    DispatchMessage message;
+    TimePoint since{};
   };
 
   Scheduler(EventLoop& loop, const SchedulerSettings& settings, Table table,
             SchedulerHooks hooks, Metrics& metrics);
   Status Listen();
   void MakeKeeper();
+  // This process owns the work now. `released`: the owner before gave it up;
+  // `first`: there was none.
   void OnTaken(uint64_t epoch, bool released, bool first);
+  // Dials the new owner.
   void Follow(const OwnerRecord& owner);
+  // A peer that the table answers, by what it said lately; or null.
+  Link* ServedPeer();
+  // Tells such a peer that this process has stopped acting under the epoch.
+  void OfferHandOver(uint64_t epoch);
+  void HandOverIfCutOff();
+  void Tick();
+
+  // In scheduler_peers.cc.
+  SchedulerHeartbeat Heartbeat() const;
+  // Sends the service settings to a peer whose version is older.
+  void ShareSettings(uint64_t peers_version,
+                     const std::function<void(const DispatchMessage&)>& send);
   void OnOwnerMessage(const DispatchMessage& message);
   LinkHooks OnAccept(Link& link);
   void OnPeerFrame(Link& link, std::string_view frame);
   void OnPeerMessage(Peer& peer, const DispatchMessage& message);
+  // Tells every scheduler that this process knows of that it owns the work.
+  // The row says the same, but not to those that the table turns away.
+  void Announce();
+  // Sends a notice to each owner until one confirms it under the key: the
+  // workflow's id for a new workflow, its CancelKey for a cancellation.
+  void Notify(const DispatchMessage& message, const std::string& key);
+  void SendNotices();
+  void DropOldNotices(TimePoint now);
+  static std::string CancelKey(const std::string& workflow);
+
+  // In scheduler_calls.cc.
   void AnswerQuestion(Link& link, const Question& question);
+  // Asks the owner; `done` gets nothing when there is no answer.
   void Ask(Question question, std::function<void(std::optional<Answer>)> done);
   bool CanRelay() const;
+  // Sends the call to the owner; `done` gets the number of its result.
   void Relay(uint64_t id, const DispatchMessage& call,
              std::function<void(std::optional<uint8_t>)> done);
   void ServeRelay(Link* link, const RelayedSubmit& call);
@@ -114,19 +148,7 @@
                   std::function<void(SubmitResult)> done);
   void CancelHere(const std::string& workflow,
                   std::function<void(CancelResult)> done);
-  void Announce();
   void TellOwner(const Workflow& workflow);
-  void Notify(const DispatchMessage& message, const std::string& key);
-  void SendNotices();
-  SchedulerHeartbeat Heartbeat() const;
-  void ShareSettings(uint64_t peers_version,
-                     const std::function<void(const DispatchMessage&)>& send);
-  void Tick();
-  // A peer that the table answers, by what it said lately; or null.
-  Link* ServedPeer();
-  // Tells such a peer that this process has stopped acting under the epoch.
-  void OfferHandOver(uint64_t epoch);
-  void HandOverIfCutOff();
 
   EventLoop& loop_;
   SchedulerSettings settings_;
@@ -143,14 +165,10 @@
   std::unique_ptr<DialedPeer> owner_peer_;
   OwnerRecord followed_;
   // Notices that no owner has confirmed yet, by a key for each.
-  struct Notice {
-    DispatchMessage message;
-    TimePoint since{};
-  };
   std::map<std::string, Notice> notices_;
-  std::map<uint64_t, OpenQuestion> questions_;
-  std::map<uint64_t, OpenRelay> relays_;
-  uint64_t next_call_ = 1;  // Numbers questions and relayed calls.
+  OpenCalls<Answer> questions_;
+  OpenCalls<uint8_t> relays_;  // Answered by the number of the result.
+  uint64_t next_call_ = 1;     // Numbers questions and relayed calls.
   bool owner_store_answers_ = false;
   // Addresses of schedulers, as the owner told them.
   std::set<std::string> known_peers_;
@@ -159,12 +177,9 @@
   std::vector<std::unique_ptr<DialedPeer>> retired_announcements_;
   Timer end_announcements_;
   TimePoint last_heartbeat_{};
-  bool leaving_ = false;
   Timer tick_;
-  Timer reap_;
   std::vector<std::unique_ptr<DialedPeer>> retired_peers_;
   std::unique_ptr<WorkOwner> retired_owner_;
-  Lifetime lifetime_;
 };
 
 }  // namespace beamhill
--- /dev/null
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -0,0 +1,160 @@
+// The part of Scheduler that talks with its peers: heartbeats, notices of what
+// was stored, announcements of a new owner.
+#include <string>
+#include <utility>
+
+#include "beamhill/config/config.h"
+#include "beamhill/log/log.h"
+#include "beamhill/scheduler/scheduler.h"
+
+namespace beamhill {
+namespace {
+
+// How long a new owner keeps trying to reach those that may not have heard.
+constexpr Duration kAnnounceFor = std::chrono::seconds(8);
+// A notice that no owner has confirmed for so long is left to the markers in
+// the table. Far below the time that finished workflows are kept, so that a
+// late notice can't bring one back.
+constexpr Duration kNoticeLife = std::chrono::seconds(30);
+
+}  // namespace
+
+std::string Scheduler::CancelKey(const std::string& workflow) {
+  return "cancel " + workflow;
+}
+
+SchedulerHeartbeat Scheduler::Heartbeat() const {
+  SchedulerHeartbeat beat;
+  beat.name = settings_.name;
+  beat.address = ToString(settings_.peers);
+  beat.incarnation = incarnation_;
+  beat.epoch = keeper_->owns() ? keeper_->epoch() : 0;
+  beat.store_answers = hooks_.store_answers();
+  beat.settings_version = hooks_.settings_version();
+  if (keeper_->owns()) {
+    for (const auto& [link, peer] : peers_) {
+      if (!peer.last.address.empty()) beat.peers.push_back(peer.last.address);
+    }
+  }
+  return beat;
+}
+
+void Scheduler::ShareSettings(
+    uint64_t peers_version,
+    const std::function<void(const DispatchMessage&)>& send) {
+  if (peers_version >= hooks_.settings_version()) return;
+  send(ServiceSettingsCopy{hooks_.settings_version(),
+                           hooks_.settings_document()});
+}
+
+void Scheduler::OnOwnerMessage(const DispatchMessage& message) {
+  if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
+    if (beat->epoch >= followed_.epoch) keeper_->OnOwnerHeard(beat->epoch);
+    owner_store_answers_ = beat->store_answers;
+    known_peers_.insert(beat->peers.begin(), beat->peers.end());
+    if (!beat->store_answers) keeper_->OnOwnerCutOff();
+    if (beat->incarnation != followed_.incarnation) {
+      keeper_->OnOwnerGone(followed_.incarnation);
+    }
+    ShareSettings(beat->settings_version,
+                  [this](const DispatchMessage& m) { owner_peer_->Send(m); });
+  } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
+    hooks_.on_settings_copy(copy->version, copy->document);
+  } else if (const auto* taken = std::get_if<NoticeTaken>(&message)) {
+    notices_.erase(taken->workflow);
+  } else if (const auto* over = std::get_if<HandOver>(&message)) {
+    keeper_->OnHandOver(over->epoch);
+  } else if (const auto* result = std::get_if<RelayedResult>(&message)) {
+    relays_.Finish(result->id, result->result);
+  } else if (const auto* answer = std::get_if<Answer>(&message)) {
+    questions_.Finish(answer->id, *answer);
+  }
+}
+
+LinkHooks Scheduler::OnAccept(Link& link) {
+  peers_[&link].link = &link;
+  LinkHooks hooks;
+  hooks.on_message = [this](Link& l, std::string_view frame) {
+    OnPeerFrame(l, frame);
+  };
+  hooks.on_close = [this](Link& l) { peers_.erase(&l); };
+  return hooks;
+}
+
+void Scheduler::OnPeerFrame(Link& link, std::string_view frame) {
+  const Result<DispatchMessage> message = DecodeDispatch(frame);
+  if (!IsOk(message)) {
+    Log(LogLevel::kWarning, "bad_message",
+        {{"error", ErrorOf(message).message}});
+    link.Close();
+    return;
+  }
+  OnPeerMessage(peers_.at(&link), ValueOf(message));
+}
+
+void Scheduler::OnPeerMessage(Peer& peer, const DispatchMessage& message) {
+  const auto send = [&peer](const DispatchMessage& m) {
+    peer.link->Send(EncodeDispatch(m));
+  };
+  if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
+    peer.last = *beat;
+    peer.heard_at = BootClock::now();
+    send(Heartbeat());
+    ShareSettings(beat->settings_version, send);
+  } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
+    hooks_.on_settings_copy(copy->version, copy->document);
+  } else if (const auto* stored = std::get_if<WorkflowStored>(&message)) {
+    if (!owner_ || !owner_->loaded()) return;  // Repeated until confirmed.
+    owner_->OnWorkflowStored(stored->workflow);
+    send(NoticeTaken{stored->workflow.id});
+  } else if (const auto* cancel = std::get_if<CancelStored>(&message)) {
+    if (!owner_ || !owner_->loaded()) return;
+    owner_->OnCancelStored(cancel->workflow);
+    send(NoticeTaken{CancelKey(cancel->workflow)});
+  } else if (const auto* announced = std::get_if<OwnerAnnounced>(&message)) {
+    keeper_->OnOwnerAnnounced(announced->record);
+  } else if (const auto* submit = std::get_if<RelayedSubmit>(&message)) {
+    ServeRelay(peer.link, *submit);
+  } else if (const auto* relayed = std::get_if<RelayedCancel>(&message)) {
+    ServeRelay(peer.link, *relayed);
+  } else if (const auto* question = std::get_if<Question>(&message)) {
+    AnswerQuestion(*peer.link, *question);
+  }
+}
+
+void Scheduler::Notify(const DispatchMessage& message, const std::string& key) {
+  notices_[key] = {message, BootClock::now()};
+  if (owner_peer_) owner_peer_->Send(message);
+}
+
+void Scheduler::DropOldNotices(TimePoint now) {
+  for (auto it = notices_.begin(); it != notices_.end();) {
+    const bool old = now - it->second.since > kNoticeLife;
+    it = old ? notices_.erase(it) : std::next(it);
+  }
+}
+
+void Scheduler::SendNotices() {
+  for (const auto& [key, notice] : notices_) owner_peer_->Send(notice.message);
+}
+
+void Scheduler::Announce() {
+  for (const std::string& text : known_peers_) {
+    const Result<Address> address = ParseAddress(text);
+    if (!IsOk(address) || text == ToString(settings_.peers)) continue;
+    const size_t index = announcements_.size();
+    DialedPeerHooks hooks;
+    hooks.on_open = [this, index] {
+      if (!keeper_->owns()) return;
+      announcements_[index]->Send(OwnerAnnounced{keeper_->record()});
+    };
+    hooks.on_message = [](const DispatchMessage&) {};
+    hooks.on_down = [](bool) {};
+    announcements_.push_back(std::make_unique<DialedPeer>(
+        loop_, ValueOf(address), std::move(hooks)));
+  }
+  end_announcements_ =
+      loop_.After(kAnnounceFor, [this] { announcements_.clear(); });
+}
+
+}  // namespace beamhill
