Name the steps of the job desk's reads

StoredState, Load and Cancel nested their callbacks up to three deep. The table gets the same calls in the same order.

--- a/beamhill/scheduler/job_desk.cc
+++ b/beamhill/scheduler/job_desk.cc
@@ -13,6 +13,44 @@
 // kilobytes of its megabyte.
 constexpr size_t kMaxBatch = 40;
 
+CancelResult CancelResultOf(CommitResult result) {
+  switch (result) {
+    case CommitResult::kCommitted:
+      return CancelResult::kCancelled;
+    case CommitResult::kConflict:
+      // The workflow's row never changes, so it was forgotten meanwhile.
+      return CancelResult::kNoSuchJob;
+    default:
+      return CancelResult::kUnknown;
+  }
+}
+
+// The workflow that the row holds; nothing when the read failed, or there is
+// no such row, or it can't be read.
+std::optional<Workflow> WorkflowIn(const std::optional<Row>& row) {
+  if (!row || row->version == 0) return std::nullopt;
+  const Result<Workflow> workflow = DecodeRecord<Workflow>(row->value);
+  if (!IsOk(workflow)) return std::nullopt;
+  return ValueOf(workflow);
+}
+
+// The record that the row holds; nothing when there is none, or it can't be
+// read.
+std::optional<ProgressRecord> RecordIn(const Row& row) {
+  if (row.version == 0) return std::nullopt;
+  const Result<ProgressRecord> record = DecodeRecord<ProgressRecord>(row.value);
+  if (!IsOk(record)) return std::nullopt;
+  return ValueOf(record);
+}
+
+// The state of a stored workflow whose row of progress is this one.
+WorkflowState StateIn(const Row& progress, bool cancelled) {
+  const std::optional<ProgressRecord> record = RecordIn(progress);
+  const WorkflowState state = record ? record->state : WorkflowState::kQueued;
+  const bool over = state >= WorkflowState::kCompleted;
+  return cancelled && !over ? WorkflowState::kCancelled : state;
+}
+
 }  // namespace
 
 namespace rows {
@@ -87,119 +125,107 @@
   }
 }
 
-void JobDesk::Cancel(const std::string& workflow,
-                     std::function<void(CancelResult)> done) {
-  const std::string key = rows::kWorkflows + workflow;
-  table_.read({key}, lifetime_.Guard([this, workflow, key,
-                                      done](Result<std::vector<Row>> found) {
-    if (!IsOk(found)) {
-      done(CancelResult::kUnknown);
-      return;
-    }
-    const uint64_t version = ValueOf(found).front().version;
-    if (version == 0) {
-      done(CancelResult::kNoSuchJob);
-      return;
-    }
-    Transaction transaction;
-    transaction.checks.push_back({key, version});
-    transaction.writes.push_back({rows::kCancels + workflow, kAnyVersion, ""});
-    transaction.writes.push_back(
-        {rows::CancelMarker(workflow), kAnyVersion, ""});
-    table_.commit(std::move(transaction),
-                  lifetime_.Guard([done](CommitAnswer answer) {
-                    if (answer.result == CommitResult::kCommitted) {
-                      done(CancelResult::kCancelled);
-                    } else if (answer.result == CommitResult::kConflict) {
-                      // Its row never changes, so it was forgotten meanwhile.
-                      done(CancelResult::kNoSuchJob);
-                    } else {
-                      done(CancelResult::kUnknown);
-                    }
-                  }));
-  }));
-}
-
-void JobDesk::Load(
-    const std::string& workflow,
-    std::function<void(std::optional<Workflow>, std::optional<ProgressRecord>)>
-        done) {
+void JobDesk::ReadRow(const std::string& key,
+                      std::function<void(std::optional<Row>)> done) {
   table_.read(
-      {rows::kWorkflows + workflow},
-      lifetime_.Guard([this, workflow, done](Result<std::vector<Row>> found) {
-        if (!IsOk(found) || ValueOf(found).front().version == 0) {
-          done(std::nullopt, std::nullopt);
+      {key},
+      lifetime_.Guard([done = std::move(done)](Result<std::vector<Row>> rows) {
+        if (!IsOk(rows)) {
+          done(std::nullopt);
           return;
         }
-        Result<Workflow> stored =
-            DecodeRecord<Workflow>(ValueOf(found).front().value);
-        if (!IsOk(stored)) {
-          done(std::nullopt, std::nullopt);
-          return;
-        }
-        table_.read({rows::kProgress + workflow},
-                    lifetime_.Guard([stored = ValueOf(stored),
-                                     done](Result<std::vector<Row>> progress) {
-                      if (!IsOk(progress)) {
-                        done(std::nullopt, std::nullopt);
-                        return;
-                      }
-                      const Row& row = ValueOf(progress).front();
-                      std::optional<ProgressRecord> record;
-                      if (row.version != 0) {
-                        auto decoded = DecodeRecord<ProgressRecord>(row.value);
-                        if (IsOk(decoded)) record = ValueOf(decoded);
-                      }
-                      done(stored, record);
-                    }));
+        done(std::move(ValueOf(rows).front()));
       }));
 }
 
-void JobDesk::StoredState(const std::string& workflow,
-                          std::function<void(StateResult)> done) {
-  table_.read(
-      {rows::kCancels + workflow},
-      lifetime_.Guard([this, workflow, done](Result<std::vector<Row>> row) {
-        if (!IsOk(row)) {
-          done({false, std::nullopt});
-          return;
-        }
-        const bool cancelled = ValueOf(row).front().version != 0;
-        table_.read(
-            {rows::kWorkflows + workflow},
-            lifetime_.Guard([this, workflow, cancelled,
-                             done](Result<std::vector<Row>> found) {
-              if (!IsOk(found)) {
-                done({false, std::nullopt});
-                return;
-              }
-              if (ValueOf(found).front().version == 0) {
-                done({true, std::nullopt});
-                return;
-              }
-              table_.read(
-                  {rows::kProgress + workflow},
-                  lifetime_.Guard(
-                      [cancelled, done](Result<std::vector<Row>> progress) {
-                        if (!IsOk(progress)) {
-                          done({false, std::nullopt});
-                          return;
-                        }
-                        WorkflowState state = WorkflowState::kQueued;
-                        const Row& stored = ValueOf(progress).front();
-                        const auto record =
-                            DecodeRecord<ProgressRecord>(stored.value);
-                        if (stored.version != 0 && IsOk(record)) {
-                          state = ValueOf(record).state;
-                        }
-                        const bool over = state >= WorkflowState::kCompleted;
-                        if (cancelled && !over) {
-                          state = WorkflowState::kCancelled;
-                        }
-                        done({true, state});
-                      }));
-            }));
-      }));
+void JobDesk::Cancel(const std::string& workflow,
+                     std::function<void(CancelResult)> done) {
+  ReadRow(rows::kWorkflows + workflow,
+          [this, workflow, done](const std::optional<Row>& stored) {
+            if (!stored) {
+              done(CancelResult::kUnknown);
+            } else if (stored->version == 0) {
+              done(CancelResult::kNoSuchJob);
+            } else {
+              StoreCancel(workflow, stored->version, done);
+            }
+          });
+}
+
+void JobDesk::StoreCancel(const std::string& workflow, uint64_t version,
+                          std::function<void(CancelResult)> done) {
+  Transaction transaction;
+  transaction.checks.push_back({rows::kWorkflows + workflow, version});
+  transaction.writes.push_back({rows::kCancels + workflow, kAnyVersion, ""});
+  transaction.writes.push_back({rows::CancelMarker(workflow), kAnyVersion, ""});
+  table_.commit(std::move(transaction),
+                lifetime_.Guard([done = std::move(done)](CommitAnswer answer) {
+                  done(CancelResultOf(answer.result));
+                }));
+}
+
+void JobDesk::Load(const std::string& workflow, LoadDone done) {
+  ReadRow(rows::kWorkflows + workflow,
+          [this, workflow, done](const std::optional<Row>& row) {
+            std::optional<Workflow> stored = WorkflowIn(row);
+            if (!stored) {
+              done(std::nullopt, std::nullopt);
+              return;
+            }
+            LoadRecord(workflow, std::move(*stored), done);
+          });
+}
+
+void JobDesk::LoadRecord(const std::string& id, Workflow workflow,
+                         LoadDone done) {
+  ReadRow(rows::kProgress + id,
+          [workflow = std::move(workflow),
+           done = std::move(done)](const std::optional<Row>& progress) {
+            if (!progress) {
+              done(std::nullopt, std::nullopt);
+              return;
+            }
+            done(workflow, RecordIn(*progress));
+          });
+}
+
+// Three reads, one after another: whether it is cancelled, whether it is
+// stored, and how far it is.
+void JobDesk::StoredState(const std::string& workflow, StateDone done) {
+  ReadRow(rows::kCancels + workflow,
+          [this, workflow, done](const std::optional<Row>& cancel) {
+            if (!cancel) {
+              done({false, std::nullopt});
+              return;
+            }
+            StateIfStored(workflow, cancel->version != 0, done);
+          });
+}
+
+void JobDesk::StateIfStored(const std::string& workflow, bool cancelled,
+                            StateDone done) {
+  ReadRow(rows::kWorkflows + workflow,
+          [this, workflow, cancelled, done](const std::optional<Row>& stored) {
+            if (!stored) {
+              done({false, std::nullopt});
+            } else if (stored->version == 0) {
+              done({true, std::nullopt});
+            } else {
+              StateByProgress(workflow, cancelled, done);
+            }
+          });
+}
+
+void JobDesk::StateByProgress(const std::string& workflow, bool cancelled,
+                              StateDone done) {
+  ReadRow(rows::kProgress + workflow,
+          [cancelled, done = std::move(done)](const std::optional<Row>& row) {
+            if (!row) {
+              done({false, std::nullopt});
+              return;
+            }
+            done({true, StateIn(*row, cancelled)});
+          });
 }
 
 }  // namespace beamhill
--- a/beamhill/scheduler/job_desk.h
+++ b/beamhill/scheduler/job_desk.h
@@ -12,9 +12,11 @@
 #ifndef BEAMHILL_SCHEDULER_JOB_DESK_H_
 #define BEAMHILL_SCHEDULER_JOB_DESK_H_
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "beamhill/base/lifetime.h"
@@ -56,19 +58,22 @@
 
 class JobDesk {
  public:
+  using StateDone = std::function<void(StateResult)>;
+  // Gets nothing when there is no such workflow, or it can't be read.
+  using LoadDone = std::function<void(std::optional<Workflow>,
+                                      std::optional<ProgressRecord>)>;
+
   explicit JobDesk(Table table) : table_(std::move(table)) {}
 
+  // Stores the workflow, unless one of its id is stored.
   void Submit(const Workflow& workflow, std::function<void(SubmitResult)> done);
+  // Stores that the workflow is cancelled, if it is stored.
   void Cancel(const std::string& workflow,
               std::function<void(CancelResult)> done);
   // As far as it is stored.
-  void StoredState(const std::string& workflow,
-                   std::function<void(StateResult)> done);
+  void StoredState(const std::string& workflow, StateDone done);
   // The workflow and its record, for an owner that has found its marker.
-  void Load(const std::string& workflow,
-            std::function<void(std::optional<Workflow>,
-                               std::optional<ProgressRecord>)>
-                done);
+  void Load(const std::string& workflow, LoadDone done);
 
  private:
   struct Submission {
@@ -80,6 +85,18 @@
   void Send(std::vector<Submission> batch);
   void OnSent(const std::vector<Submission>& batch, CommitResult result);
 
+  // The row, with version 0 when there is none; nothing when the read failed.
+  void ReadRow(const std::string& key,
+               std::function<void(std::optional<Row>)> done);
+  // `version` is that of the workflow's row.
+  void StoreCancel(const std::string& workflow, uint64_t version,
+                   std::function<void(CancelResult)> done);
+  void LoadRecord(const std::string& id, Workflow workflow, LoadDone done);
+  void StateIfStored(const std::string& workflow, bool cancelled,
+                     StateDone done);
+  void StateByProgress(const std::string& workflow, bool cancelled,
+                       StateDone done);
+
   Table table_;
   std::vector<Submission> waiting_;
   int open_ = 0;
