--- a/beamhill/testing/test_estate.cc
+++ b/beamhill/testing/test_estate.cc
@@ -1,10 +1,7 @@
 #include "beamhill/testing/test_estate.h"
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <netinet/in.h>
 #include <spawn.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -16,6 +13,7 @@
 #include <thread>
 
 #include "beamhill/ctl/http_call.h"
+#include "beamhill/testing/free_port.h"
 
 extern char** environ;
 
@@ -28,19 +26,6 @@
 constexpr Duration kCallTimeout = std::chrono::seconds(15);
 constexpr Duration kPoll = std::chrono::milliseconds(50);
 
-// A port that was free a moment ago; entries must keep theirs over restarts.
-uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  (void)bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  socklen_t size = sizeof(address);
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return ntohs(address.sin_port);
-}
-
 std::string Binary(const std::string& path) {
   return std::string(BEAMHILL_BINARY_DIR) + path;
 }
@@ -78,7 +63,7 @@
 }
 
 void TestEstate::Reserve(const std::string& kind, int number) {
-  ports_[kind + std::to_string(number)] = FreePort();
+  ports_[kind + std::to_string(number)] = FreePort();  // Kept over restarts.
 }
 
 Address TestEstate::Port(const std::string& kind, int number) const {
