--- a/beamhill/dispatch/dispatch_messages.cc
+++ b/beamhill/dispatch/dispatch_messages.cc
@@ -1,8 +1,7 @@
 #include "beamhill/dispatch/dispatch_messages.h"
 
-#include <cstddef>
-
 #include "beamhill/messages/internal/cbor_fields.h"
+#include "beamhill/messages/internal/message_codec.h"
 
 namespace beamhill {
 namespace {
@@ -24,23 +23,6 @@
 };
 using Codec = messages_internal::CborFields<DispatchFields>;
 
-template <size_t I = 0>
-Result<DispatchMessage> DecodeAs(size_t number, const Json& body) {
-  if constexpr (I == std::variant_size_v<DispatchMessage>) {
-    return Error{ErrorCode::kInvalidArgument, "unknown message number",
-                 "run the same version of beamhill on every VM"};
-  } else {
-    if (number != I) return DecodeAs<I + 1>(number, body);
-    std::variant_alternative_t<I, DispatchMessage> message;
-    if (!Codec::From(body, &message)) {
-      return Error{ErrorCode::kInvalidArgument,
-                   "wrong fields in message " + std::to_string(I),
-                   "run the same version of beamhill on every VM"};
-    }
-    return DispatchMessage(std::move(message));
-  }
-}
-
 template <typename Record>
 std::string EncodeAny(const Record& record) {
   std::string bytes;
@@ -71,20 +53,11 @@
 }
 
 std::string EncodeDispatch(const DispatchMessage& message) {
-  Json array = Json::array({message.index()});
-  std::visit([&array](const auto& m) { array.push_back(Codec::To(m)); },
-             message);
-  std::string bytes;
-  Json::to_cbor(array, bytes);
-  return bytes;
+  return messages_internal::EncodeMessage<Codec>(message);
 }
 
 Result<DispatchMessage> DecodeDispatch(std::string_view bytes) {
-  const Json json = ParseCbor(bytes);
-  if (!json.is_array() || json.size() != 2 || !json[0].is_number_unsigned()) {
-    return Error{ErrorCode::kInvalidArgument, "not a message", ""};
-  }
-  return DecodeAs(json[0].get<size_t>(), json[1]);
+  return messages_internal::DecodeMessage<Codec, DispatchMessage>(bytes);
 }
 
 std::string EncodeRecord(const Workflow& record) { return EncodeAny(record); }
--- a/beamhill/messages/codec.cc
+++ b/beamhill/messages/codec.cc
@@ -1,17 +1,14 @@
 #include "beamhill/messages/codec.h"
 
-#include <cstddef>
 #include <tuple>
 #include <type_traits>
 
 #include "beamhill/messages/internal/cbor_fields.h"
+#include "beamhill/messages/internal/message_codec.h"
 
 namespace beamhill {
 namespace {
 
-using messages_internal::Json;
-using messages_internal::ParseCbor;
-
 // The fields of each structure, in wire order. One list serves both ways.
 // Some structures share field names. NOLINTBEGIN(bugprone-branch-clone)
 struct MessageFields {
@@ -95,40 +92,14 @@
 
 using Codec = messages_internal::CborFields<MessageFields>;
 
-template <size_t I = 0>
-Result<Message> DecodeAs(size_t number, const Json& body) {
-  if constexpr (I == std::variant_size_v<Message>) {
-    return Error{ErrorCode::kInvalidArgument, "unknown message number",
-                 "run the same version of beamhill on every VM"};
-  } else {
-    if (number != I) return DecodeAs<I + 1>(number, body);
-    std::variant_alternative_t<I, Message> message;
-    if (!Codec::From(body, &message)) {
-      return Error{ErrorCode::kInvalidArgument,
-                   "wrong fields in message " + std::to_string(I),
-                   "run the same version of beamhill on every VM"};
-    }
-    return Message(std::move(message));
-  }
-}
-
 }  // namespace
 
 std::string Encode(const Message& message) {
-  Json array = Json::array({message.index()});
-  std::visit([&array](const auto& m) { array.push_back(Codec::To(m)); },
-             message);
-  std::string bytes;
-  Json::to_cbor(array, bytes);
-  return bytes;
+  return messages_internal::EncodeMessage<Codec>(message);
 }
 
 Result<Message> Decode(std::string_view bytes) {
-  const Json json = ParseCbor(bytes);
-  if (!json.is_array() || json.size() != 2 || !json[0].is_number_unsigned()) {
-    return Error{ErrorCode::kInvalidArgument, "not a message", ""};
-  }
-  return DecodeAs(json[0].get<size_t>(), json[1]);
+  return messages_internal::DecodeMessage<Codec, Message>(bytes);
 }
 
 }  // namespace beamhill
--- /dev/null
+++ b/beamhill/messages/internal/message_codec.h
@@ -0,0 +1,60 @@
+// The bytes of a message that is one of a variant's alternatives: a CBOR array
+// of its number and its fields.
+//
+//   std::string bytes = EncodeMessage<Codec>(message);
+//   Result<Message> message = DecodeMessage<Codec, Message>(bytes);
+#ifndef BEAMHILL_MESSAGES_INTERNAL_MESSAGE_CODEC_H_
+#define BEAMHILL_MESSAGES_INTERNAL_MESSAGE_CODEC_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+#include "beamhill/base/error.h"
+#include "beamhill/messages/internal/cbor_fields.h"
+
+namespace beamhill::messages_internal {
+
+// `Codec` is a CborFields.
+template <typename Codec, typename Message>
+std::string EncodeMessage(const Message& message) {
+  Json array = Json::array({message.index()});
+  std::visit([&array](const auto& m) { array.push_back(Codec::To(m)); },
+             message);
+  std::string bytes;
+  Json::to_cbor(array, bytes);
+  return bytes;
+}
+
+// The alternative of that number.
+template <typename Codec, typename Message, size_t I = 0>
+Result<Message> DecodeAs(size_t number, const Json& body) {
+  if constexpr (I == std::variant_size_v<Message>) {
+    return Error{ErrorCode::kInvalidArgument, "unknown message number",
+                 "run the same version of beamhill on every VM"};
+  } else {
+    if (number != I) return DecodeAs<Codec, Message, I + 1>(number, body);
+    std::variant_alternative_t<I, Message> message;
+    if (!Codec::From(body, &message)) {
+      return Error{ErrorCode::kInvalidArgument,
+                   "wrong fields in message " + std::to_string(I),
+                   "run the same version of beamhill on every VM"};
+    }
+    return Message(std::move(message));
+  }
+}
+
+template <typename Codec, typename Message>
+Result<Message> DecodeMessage(std::string_view bytes) {
+  const Json json = ParseCbor(bytes);
+  if (!json.is_array() || json.size() != 2 || !json[0].is_number_unsigned()) {
+    return Error{ErrorCode::kInvalidArgument, "not a message", ""};
+  }
+  return DecodeAs<Codec, Message>(json[0].get<size_t>(), json[1]);
+}
+
+}  // namespace beamhill::messages_internal
+
+#endif  // BEAMHILL_MESSAGES_INTERNAL_MESSAGE_CODEC_H_
