Split long functions of the owner, the keeper and the placement

OnLoaded, OnRow and Choose are cut into named steps, and two costs of a place get names. A condition that always held in OnRow is gone. Behaviour is the same.

--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -19,6 +19,10 @@
 // one where only others do; against differences in load of at most 1.
 constexpr double kNewToServing = 3;
 constexpr double kMixing = 0.4;
+// What it costs to be in another rack than the data, and on the VM where the
+// task failed; these outweigh any difference in load.
+constexpr double kOtherRack = 4;
+constexpr double kAvoided = 8;
 // What ends later than this many times its objective earns nothing.
 constexpr int kLateFactor = 3;
 // Runs of an owner are numbered from its epoch times this, so that they are
@@ -194,6 +198,26 @@
   return -used / whole;
 }
 
+bool Dispatcher::HadNoRoom(const std::string& service,
+                           const WorkflowStep& step) const {
+  return std::any_of(no_room_.begin(), no_room_.end(), [&](const auto& entry) {
+    const WorkflowStep& earlier = entry.second;
+    return entry.first == service && earlier.fills == step.fills &&
+           step.each.Holds(earlier.each);
+  });
+}
+
+uint32_t Dispatcher::HeldOfStep(const Vm& vm, const std::string& workflow,
+                                const WorkflowProgress::OpenStep& open) {
+  const auto held =
+      std::count_if(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
+        const TaskRef& task = entry.first.task;
+        return task.workflow == workflow && task.round == open.round &&
+               task.step == open.step;
+      });
+  return static_cast<uint32_t>(held);
+}
+
 Dispatcher::Vm* Dispatcher::Choose(const Job& job, const WorkflowStep& step,
                                    const WorkflowProgress::OpenStep& open,
                                    const std::string& avoid, TimePoint now,
@@ -202,12 +226,7 @@
   const bool advised = workflow.policy.needs_advice;
   const bool simple =
       step.max_per_vm == 0 && step.required_label.empty() && !advised;
-  for (const auto& [service, earlier] : no_room_) {
-    if (simple && service == workflow.service && earlier.fills == step.fills &&
-        step.each.Holds(earlier.each)) {
-      return nullptr;
-    }
-  }
+  if (simple && HadNoRoom(workflow.service, step)) return nullptr;
   Vm* best = nullptr;
   double best_cost = 0;
   for (auto& [vm_name, vm] : vms_) {
@@ -215,19 +234,15 @@
     if (advised && TicketFor(job, open, vm.status.life, now) == nullptr) {
       continue;
     }
-    if (step.max_per_vm > 0) {
-      const auto same =
-          std::count_if(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
-            const TaskRef& task = entry.first.task;
-            return task.workflow == workflow.id && task.round == open.round &&
-                   task.step == open.step;
-          });
-      if (same >= static_cast<int64_t>(step.max_per_vm)) continue;
+    if (step.max_per_vm > 0 &&
+        HeldOfStep(vm, workflow.id, open) >= step.max_per_vm) {
+      continue;
     }
     double cost = Cost(vm, step);
-    // Whole units, so that these outweigh any difference in load.
-    if (!step.near_rack.empty() && vm.status.rack != step.near_rack) cost += 4;
-    if (vm_name == avoid) cost += 8;
+    if (!step.near_rack.empty() && vm.status.rack != step.near_rack) {
+      cost += kOtherRack;
+    }
+    if (vm_name == avoid) cost += kAvoided;
     if (best == nullptr || cost < best_cost) {
       best = &vm;
       best_cost = cost;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -335,6 +335,12 @@
                  TimePoint now);
   void StartGang(Job& job, const WorkflowProgress::OpenStep& open,
                  TimePoint now);
+  // Whether a step that asks for no more had no room, in this tick.
+  bool HadNoRoom(const std::string& service, const WorkflowStep& step) const;
+  // How many runs of the step the VM holds.
+  static uint32_t HeldOfStep(const Vm& vm, const std::string& workflow,
+                             const WorkflowProgress::OpenStep& open);
+  // The cheapest place, or null when there is none.
   Vm* Choose(const Job& job, const WorkflowStep& step,
              const WorkflowProgress::OpenStep& open, const std::string& avoid,
              TimePoint now, std::string* name);
@@ -361,7 +367,8 @@
   std::set<std::string> unaccounted_;
   WorkerHealth health_;
   PairwiseInterference interference_;
-  // The step that was last found to have no room anywhere, in this tick.
+  // Steps that were found to have no room anywhere, in this tick, each with
+  // its workflow's service.
   std::vector<std::pair<std::string, WorkflowStep>> no_room_;
 
   std::set<std::string> dirty_;
--- a/beamhill/dispatch/ownership_keeper.cc
+++ b/beamhill/dispatch/ownership_keeper.cc
@@ -90,6 +90,16 @@
          now - unchanged_since_ >= options_.unchanged_before_claim;
 }
 
+bool OwnershipKeeper::Remember(const OwnerRecord& seen, uint64_t version,
+                               TimePoint sent_at) {
+  if (!row_seen_ || version != version_) unchanged_since_ = sent_at;
+  const bool new_owner = !row_seen_ || seen.incarnation != record_.incarnation;
+  row_seen_ = true;
+  version_ = version;
+  record_ = seen;
+  return new_owner;
+}
+
 void OwnershipKeeper::OnRow(const Row& row, TimePoint sent_at) {
   const TimePoint now = hooks_.now();
   if (row.version == 0) {
@@ -102,11 +112,7 @@
     return;
   }
   const OwnerRecord& seen = ValueOf(decoded);
-  if (!row_seen_ || row.version != version_) unchanged_since_ = sent_at;
-  const bool new_owner = !row_seen_ || seen.incarnation != record_.incarnation;
-  row_seen_ = true;
-  version_ = row.version;
-  record_ = seen;
+  const bool new_owner = Remember(seen, row.version, sent_at);
   const bool own_row =
       seen.owner == options_.name && seen.incarnation == options_.incarnation;
   if (own_row && seen.epoch > last_owned_epoch_ && !seen.released) {
@@ -126,7 +132,7 @@
     return;
   }
   // An earlier run of this process is gone for certain.
-  const bool own_earlier_run = seen.owner == options_.name && !own_row;
+  const bool own_earlier_run = seen.owner == options_.name;
   if (own_earlier_run || OwnerLooksLost(now)) {
     Claim(row, /*released=*/false);
     return;
--- a/beamhill/dispatch/ownership_keeper.h
+++ b/beamhill/dispatch/ownership_keeper.h
@@ -103,6 +103,9 @@
 
  private:
   void ReadRow();
+  // Takes in the row as it was read; whether another process owns the work
+  // than the row said before.
+  bool Remember(const OwnerRecord& seen, uint64_t version, TimePoint sent_at);
   void OnRow(const Row& row, TimePoint sent_at);
   bool OwnerLooksLost(TimePoint now) const;
   void Claim(const Row& row, bool released);
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -77,8 +77,7 @@
   }));
 }
 
-void WorkOwner::OnLoaded(const Loading& loading) {
-  const TimePoint now = BootClock::now();
+void WorkOwner::CreateDispatcher(const Loading& loading, TimePoint now) {
   DispatcherOptions options;
   options.epoch = options_.epoch;
   options.lease_term = options_.lease_term;
@@ -96,6 +95,9 @@
             {{"request", workflow}, {"detail", detail}});
       },
       now);
+}
+
+void WorkOwner::AddLoadedWorkflows(const Loading& loading, TimePoint now) {
   std::map<std::string, ProgressRecord> records;
   for (const Row& row : loading.found.at(rows::kProgress)) {
     auto record = DecodeRecord<ProgressRecord>(row.value);
@@ -115,6 +117,12 @@
         record == records.end() ? std::nullopt : std::optional(record->second),
         now);
   }
+}
+
+void WorkOwner::OnLoaded(const Loading& loading) {
+  const TimePoint now = BootClock::now();
+  CreateDispatcher(loading, now);
+  AddLoadedWorkflows(loading, now);
   for (const Row& row : loading.found.at(rows::kCancels)) {
     dispatcher_->Cancel(After(row.key, rows::kCancels), now);
   }
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -41,7 +41,7 @@
   Duration commit_interval = std::chrono::milliseconds(40);
 };
 
-// Histograms that outlive one ownership.
+// Figures that outlive one ownership.
 struct WorkOwnerMetrics {
   LatencyHistogram* commit = nullptr;
   Counter* starts = nullptr;
@@ -62,12 +62,14 @@
   void OnWorkflowStored(const Workflow& workflow);
   void OnCancelStored(const std::string& workflow);
 
+  // Nothing when it isn't known here, or nothing is loaded yet.
   std::optional<WorkflowState> StateOf(const std::string& workflow) const;
   std::optional<uint64_t> WaitingIn(const std::string& queue) const;
 
-  // Starts nothing more and stores what is decided, then calls the hook.
+  // Starts nothing more and stores what is decided, then calls `done`.
   void Quiesce(std::function<void()> done);
 
+  // Null before it is loaded.
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
   std::string Dump() const;
 
@@ -80,6 +82,9 @@
 
   void Load();
   void LoadNext(std::shared_ptr<Loading> loading);
+  // From here on it is loaded().
+  void CreateDispatcher(const Loading& loading, TimePoint now);
+  void AddLoadedWorkflows(const Loading& loading, TimePoint now);
   void OnLoaded(const Loading& loading);
   void Scan();
   void OnVmRows(const std::vector<Row>& rows);
