Remove accessors without users; say what declarations promise

Counts of bytes and calls that nothing read are gone, and two examples in headers show calls that exist. Comments name errors, lifetimes and units of what adaptors and processes offer. Behaviour is the same.

--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -182,7 +182,6 @@
   const DispatchCounts& counts() const { return counts_; }
   size_t workflows() const { return jobs_.size(); }
   DispatchSummary Summary() const;
-  size_t unaccounted_vms() const { return unaccounted_.size(); }
   // One line for each VM and each workflow that is not over.
   std::string Dump(TimePoint now) const;
 
--- a/beamhill/executor/executor_process.h
+++ b/beamhill/executor/executor_process.h
@@ -1,8 +1,9 @@
 // The executor as a process: links from owners, its own row in the table, and
 // the Executor between them and the runner.
 //
-//   auto process = ExecutorProcess::Start(loop, settings, table, runner);
-//   process->OnRunner(status, clock);       // from the adaptor
+//   auto process =
+//       ExecutorProcess::Start(loop, settings, table, runner, metrics);
+//   ValueOf(process)->executor().OnRunner(status, clock);  // by the adaptor
 #ifndef BEAMHILL_EXECUTOR_EXECUTOR_PROCESS_H_
 #define BEAMHILL_EXECUTOR_EXECUTOR_PROCESS_H_
 
@@ -21,13 +22,14 @@
 namespace beamhill {
 
 struct ExecutorSettings {
-  std::string vm;
-  Address links;  // Where owners dial.
+  std::string vm;  // The VM's name.
+  Address links;   // Where owners dial.
   ExecutorOptions executor;
 };
 
 class ExecutorProcess {
  public:
+  // Fails when it can't listen for owners.
   static Result<std::unique_ptr<ExecutorProcess>> Start(
       EventLoop& loop, const ExecutorSettings& settings, Table table,
       TaskRunner runner, Metrics& metrics);
@@ -40,6 +42,7 @@
                   Table table);
   Status Listen();
   void MakeExecutor(TaskRunner runner, Metrics& metrics);
+  // Writes the VM's row, again after a pause until it is stored.
   void Register();
   LinkHooks OnAccept(Link& link);
 
--- a/beamhill/executor/pacer.h
+++ b/beamhill/executor/pacer.h
@@ -36,7 +36,9 @@
   // Share of the VM's processors that each filling image uses now.
   using FillingShares = std::map<std::string, double>;
 
+  // What the owner has learned; replaces what it said before.
   void SetWeights(Weights weights) { weights_ = std::move(weights); }
+  // Takes in the newest samples of the VM and changes paces by them.
   void Observe(const std::vector<ServingSample>& serving,
                const FillingShares& filling, TimePoint now);
   // The percentage at which tasks of the image may work; 100 at first.
--- a/beamhill/scheduler/dialed_peer.cc
+++ b/beamhill/scheduler/dialed_peer.cc
@@ -63,7 +63,6 @@
 void DialedPeer::Send(const DispatchMessage& message) {
   if (!is_open()) return;
   const std::string frame = EncodeDispatch(message);
-  bytes_sent_ += frame.size();
   link_->Send(frame);
 }
 
--- a/beamhill/scheduler/dialed_peer.h
+++ b/beamhill/scheduler/dialed_peer.h
@@ -31,12 +31,11 @@
   DialedPeer(const DialedPeer&) = delete;
   DialedPeer& operator=(const DialedPeer&) = delete;
 
+  // Does nothing while the link is down.
   void Send(const DispatchMessage& message);
   // Breaks the link if nothing came for so long; it is dialed anew.
   void CloseIfSilent(Duration limit);
   bool is_open() const;
-  const Address& address() const { return address_; }
-  uint64_t bytes_sent() const { return bytes_sent_; }
 
  private:
   void Dial();
@@ -51,7 +50,6 @@
   Duration pause_{};
   TimePoint dialed_at_{};
   TimePoint heard_at_{};
-  uint64_t bytes_sent_ = 0;
   Timer redial_;
 };
 
