--- a/beamhill/dispatch/dispatch_commit.cc
+++ b/beamhill/dispatch/dispatch_commit.cc
@@ -7,9 +7,13 @@
 namespace beamhill {
 namespace {
 
-// Workflows in one transaction: each takes two of the store's 100 entries,
-// and the owner's row takes one.
-constexpr size_t kMaxCommit = 45;
+// Entries of one transaction: the store takes 100, of which the owner's row
+// and what was learned of pressure take one each. A workflow's progress comes
+// with the removal of its marker; one that is forgotten has three rows.
+constexpr size_t kMaxEntries = 94;
+constexpr size_t kEntriesOfProgress = 2;
+constexpr size_t kEntriesOfForgotten = 3;
+constexpr size_t kMaxCommit = kMaxEntries / kEntriesOfProgress;
 
 }  // namespace
 
@@ -44,7 +48,9 @@
 
 void Dispatcher::AddForgotten(DispatchCommit& commit, TimePoint now) const {
   for (const auto& [id, job] : jobs_) {
-    if (commit.progress.size() + commit.forgotten.size() >= kMaxCommit) return;
+    const size_t entries = kEntriesOfProgress * commit.progress.size() +
+                           kEntriesOfForgotten * (commit.forgotten.size() + 1);
+    if (entries > kMaxEntries) return;
     const bool old = job->over_at && !job->dirty &&
                      job->stored_state == job->progress.state() &&
                      now - *job->over_at > options_.retention;
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -202,8 +202,10 @@
                            const WorkflowStep& step) const {
   return std::any_of(no_room_.begin(), no_room_.end(), [&](const auto& entry) {
     const WorkflowStep& earlier = entry.second;
-    return entry.first == service && earlier.fills == step.fills &&
-           step.each.Holds(earlier.each);
+    // A filler may have been kept away for what its own image disturbs.
+    const bool alike = earlier.fills == step.fills &&
+                       (!step.fills || earlier.image == step.image);
+    return entry.first == service && alike && step.each.Holds(earlier.each);
   });
 }
 
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -184,6 +184,7 @@
   for (const RunRef& run : inventory.running) {
     if (state.held.count(run) == 0) Adopt(vm, state, run, now);
   }
+  if (state.status.draining) Evacuate(vm, state);
   SendTraits(vm, state);
   Account(vm);
   return true;
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -218,6 +218,40 @@
   EXPECT_THAT(Tick().starts, IsEmpty());
 }
 
+// After a takeover all finished workflows fall due at once; a transaction over
+// the store's 100 entries would be refused for good.
+TEST_F(DispatcherTest, ForgettingManyStaysWithinOneTransaction) {
+  Take({});
+  ProgressRecord completed;
+  completed.state = WorkflowState::kCompleted;
+  for (int i = 0; i < 70; ++i) {
+    dispatcher_->AddWorkflow(OneStep("w" + std::to_string(i), 1, 1), completed,
+                             now_);
+  }
+  now_ += seconds(131);
+  size_t forgotten = 0;
+  while (const auto commit = dispatcher_->TakeCommit(now_)) {
+    EXPECT_LE(3 * commit->forgotten.size() + 2 * commit->progress.size(), 98);
+    forgotten += commit->forgotten.size();
+    dispatcher_->OnCommitted();
+  }
+  EXPECT_EQ(forgotten, 70);
+}
+
+TEST_F(DispatcherTest, VmFoundDrainingIsEvacuatedToo) {
+  Take({"vm-1"});
+  Workflow lasting = OneStep("a", 1, 1);
+  lasting.steps[0].long_running = true;
+  dispatcher_->AddWorkflow(lasting, std::nullopt, now_);
+  dispatcher_->OnLinkUp("vm-1");
+  VmStatus draining = StatusOf("vm-1");
+  draining.draining = true;
+  draining.remaining = seconds(3);
+  dispatcher_->OnInventory("vm-1", {2, draining, {Ref("a", 0, 1)}, {}, {}},
+                           now_);
+  EXPECT_THAT(Take().stops, ElementsAre(std::pair("vm-1", Ref("a", 0, 1))));
+}
+
 TEST_F(DispatcherTest, FinishedWorkflowIsForgottenAfterItsRetention) {
   Take({});
   Link("vm-1");
