--- a/beamhill/placement/interference_model.cc
+++ b/beamhill/placement/interference_model.cc
@@ -123,14 +123,24 @@
   }
 }
 
+Duration InterferenceModel::Mean(const ClassLoads& loads) const {
+  const Impl& m = *impl_;
+  double mean = m.weights(kConstant);
+  for (const auto& [name, share] : loads) {
+    mean += share * m.weights(kShared);
+    const auto it = m.classes.find(name);
+    if (it != m.classes.end()) mean += share * m.weights(it->second);
+  }
+  return m.FromUnits(std::max(kFloor, mean));
+}
+
 InterferenceModel::Prediction InterferenceModel::Predict(
     const ClassLoads& loads) const {
   const Vector x = impl_->Features(loads);
-  const double mean = std::max(kFloor, ublas::inner_prod(x, impl_->weights));
   const Vector cx = ublas::prod(impl_->covariance, x);
   const double variance =
       impl_->squared_error * std::max(0.0, ublas::inner_prod(x, cx));
-  return {impl_->FromUnits(mean), impl_->FromUnits(std::sqrt(variance))};
+  return {Mean(loads), impl_->FromUnits(std::sqrt(variance))};
 }
 
 Duration InterferenceModel::WeightOf(const std::string& work_class) const {
--- a/beamhill/placement/interference_model.h
+++ b/beamhill/placement/interference_model.h
@@ -47,6 +47,8 @@
     Duration deviation{};  // One standard deviation of the estimate.
   };
   Prediction Predict(const ClassLoads& loads) const;
+  // The mean of Predict alone, at a fraction of its cost.
+  Duration Mean(const ClassLoads& loads) const;
 
   // How much a whole VM of the class would add to the latency.
   Duration WeightOf(const std::string& work_class) const;
--- a/beamhill/placement/pairwise_interference.cc
+++ b/beamhill/placement/pairwise_interference.cc
@@ -33,7 +33,7 @@
   if (it == by_serving_.end() || it->second.model.samples() < kEnoughSamples) {
     return std::nullopt;
   }
-  return it->second.model.Predict(fillers).mean;
+  return it->second.model.Mean(fillers);
 }
 
 std::vector<PairwiseInterference::Weight> PairwiseInterference::Weights()
