Repeat stops that were lost with a link or an executor

Ruled out: a cancellation that the owner never heard of (it was stored and acknowledged, workflow_cancelled was logged).

An inventory now repeats every stop that is still owed.

--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -158,8 +158,9 @@
   std::set<RunRef> there(inventory.running.begin(), inventory.running.end());
   there.insert(inventory.pending.begin(), inventory.pending.end());
   for (const auto& [run, held] : std::map<RunRef, HeldRun>(vm.held)) {
-    if (there.count(run) > 0) continue;
-    // The start may still be on its way; a stop settles that.
+    // A start that is not there may still be on its way; a stop settles that.
+    // A stop that was sent before may be lost with its link or its executor.
+    if (there.count(run) > 0 && !held.stopping) continue;
     vm.held[run].stopping = false;
     Stop(name, vm, run);
   }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -289,7 +289,8 @@
   void Adopt(const std::string& name, Vm& vm, const RunRef& run, TimePoint now);
   void TakeInventoryStatus(const std::string& name, Vm& vm,
                            const VmStatus& status);
-  // Stops the held runs that an inventory doesn't show.
+  // Stops the held runs that an inventory doesn't show, and again those that
+  // were to be stopped before it.
   void StopMissing(const std::string& name, Vm& vm,
                    const VmInventory& inventory);
   void SendTraits(const std::string& name, const Vm& vm);
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -172,6 +172,32 @@
   EXPECT_THAT(Tick().starts, SizeIs(1));
 }
 
+// Found on tsagaan-tal-grown scale-2 (UNASKED): the executor was restarted
+// between the owner's stop and its own call to the runner.
+TEST_F(DispatcherTest, StopThatAnExecutorLostIsRepeatedAfterItsInventory) {
+  Take({});
+  Link("vm-1");
+  dispatcher_->AddWorkflow(OneStep("a", 1, 2), std::nullopt, now_);
+  const RunRef run = Tick().starts[0].second;
+  dispatcher_->Cancel("a", now_);
+  ASSERT_THAT(Take().stops, SizeIs(1));
+  dispatcher_->OnLinkDown("vm-1");
+  Link("vm-1", {run});
+  EXPECT_THAT(Take().stops, ElementsAre(std::pair("vm-1", run)));
+}
+
+TEST_F(DispatcherTest, StopForAVmWithoutALinkIsSentOnceItHasOne) {
+  Take({});
+  Link("vm-1");
+  dispatcher_->AddWorkflow(OneStep("a", 1, 2), std::nullopt, now_);
+  const RunRef run = Tick().starts[0].second;
+  dispatcher_->OnLinkDown("vm-1");
+  dispatcher_->Cancel("a", now_);
+  Take();
+  Link("vm-1", {run});
+  EXPECT_THAT(Take().stops, ElementsAre(std::pair("vm-1", run)));
+}
+
 TEST_F(DispatcherTest, EndIsSettledOnlyOnceStored) {
   Take({});
   Link("vm-1");
