Exit only once the last answers are on their way

The linger of 2.3 s was short, too: callers may come for 3 s.

Ruled out: a request that was never read (it was open for half a second), the kill at the end of the grace time (6 s).

The decision is now StopSequence, pure and tested; AnswerThatWasJustGiven- IsSentFirst fails against the old rule (exit at once).

--- /dev/null
+++ b/beamhill/scheduler/stop_sequence_test.cc
@@ -0,0 +1,52 @@
+#include "beamhill/scheduler/stop_sequence.h"
+
+#include <gtest/gtest.h>
+
+namespace beamhill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kBegan{std::chrono::hours(1)};
+constexpr bool kReleased = true;
+
+StopSequence SequenceOf(Duration grace) {
+  StopSequenceOptions options;
+  options.grace = grace;
+  return {options, kBegan};
+}
+
+TEST(StopSequenceTest, LingersUntilTheBalancerHasNoticed) {
+  const StopSequence stop = SequenceOf(seconds(6));
+  EXPECT_FALSE(stop.MayExit(kBegan + milliseconds(3000), 0, kReleased));
+  EXPECT_TRUE(stop.MayExit(kBegan + milliseconds(3100), 0, kReleased));
+}
+
+// Found on tsagaan-tal-grown scale-1 (LOST): the process exited between an
+// answer and its bytes.
+TEST(StopSequenceTest, AnswerThatWasJustGivenIsSentFirst) {
+  StopSequence stop = SequenceOf(seconds(6));
+  const TimePoint answered = kBegan + milliseconds(3400);
+  stop.OnActivity(answered);
+  EXPECT_FALSE(stop.MayExit(answered, 0, kReleased));
+  EXPECT_FALSE(stop.MayExit(answered + milliseconds(299), 0, kReleased));
+  EXPECT_TRUE(stop.MayExit(answered + milliseconds(300), 0, kReleased));
+}
+
+TEST(StopSequenceTest, WaitsForOpenRequestsAndItsOwnWork) {
+  const StopSequence stop = SequenceOf(seconds(6));
+  const TimePoint late = kBegan + milliseconds(4000);
+  EXPECT_FALSE(stop.MayExit(late, 1, kReleased));
+  EXPECT_FALSE(stop.MayExit(late, 0, !kReleased));
+  EXPECT_TRUE(stop.MayExit(late, 0, kReleased));
+}
+
+TEST(StopSequenceTest, LeavesBeforeThePlatformKillsIt) {
+  const StopSequence stop = SequenceOf(seconds(6));
+  EXPECT_FALSE(stop.MayExit(kBegan + milliseconds(5200), 3, !kReleased));
+  EXPECT_TRUE(stop.MayExit(kBegan + milliseconds(5300), 3, !kReleased));
+}
+
+}  // namespace
+}  // namespace beamhill
