--- a/beamhill/config/config.cc
+++ b/beamhill/config/config.cc
@@ -174,6 +174,27 @@
   return value;
 }
 
+double Config::Number(const std::string& key, double low, double high,
+                      std::optional<double> default_value) {
+  const auto text = impl_->Scalar(key, !default_value);
+  double value = default_value.value_or(low);
+  if (text) {
+    const auto parsed = ParseNumber<double>(*text);
+    if (!parsed || !(*parsed >= low && *parsed <= high)) {
+      std::ostringstream fault;
+      fault << "'" << *text << "' is not a number from " << low << " to "
+            << high;
+      Fault(key, fault.str());
+    } else {
+      value = *parsed;
+    }
+  }
+  std::ostringstream shown;
+  shown << value;
+  impl_->effective[key] = shown.str();
+  return value;
+}
+
 Duration Config::Time(const std::string& key, Duration low, Duration high,
                       std::optional<Duration> default_value) {
   const auto text = impl_->Scalar(key, !default_value);
--- a/beamhill/config/config.h
+++ b/beamhill/config/config.h
@@ -43,6 +43,8 @@
                    std::optional<std::string> default_value = std::nullopt);
   int64_t Int(const std::string& key, int64_t low, int64_t high,
               std::optional<int64_t> default_value = std::nullopt);
+  double Number(const std::string& key, double low, double high,
+                std::optional<double> default_value = std::nullopt);
   Duration Time(const std::string& key, Duration low, Duration high,
                 std::optional<Duration> default_value = std::nullopt);
   Address Ip(const std::string& key,
--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -280,15 +280,17 @@
   std::string name;
   std::string address;  // Where the sender is dialed.
   uint64_t incarnation = 0;
-  uint64_t epoch = 0;          // Owner: its own. Others: the one they follow.
-  bool store_answers = false;  // Whether the sender reaches the store.
+  uint64_t epoch = 0;          // Of its own ownership; 0: it owns nothing.
+  uint64_t known_epoch = 0;    // Of the latest owner that it knows.
+  Duration store_silence{};    // Since the store last answered the sender.
+  double strength = 1;         // Of its VM, see HostStrength.
   uint64_t settings_version = 0;   // Of the newest service settings it knows.
   std::vector<std::string> peers;  // Owner: addresses of those that follow it.
 
   template <typename S>
   static auto Fields(S& s) {
-    return std::tie(s.name, s.address, s.incarnation, s.epoch, s.store_answers,
-                    s.settings_version, s.peers);
+    return std::tie(s.name, s.address, s.incarnation, s.epoch, s.known_epoch, s.store_silence,
+                    s.strength, s.settings_version, s.peers);
   }
 };
 
--- a/beamhill/dispatch/ownership_keeper.cc
+++ b/beamhill/dispatch/ownership_keeper.cc
@@ -1,5 +1,6 @@
 #include "beamhill/dispatch/ownership_keeper.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace beamhill {
@@ -31,8 +32,7 @@
 }
 
 void OwnershipKeeper::OnOwnerCutOff() {
-  const TimePoint soon = hooks_.now() + options_.look_interval;
-  if (!owns_ && look_at_ > soon) look_at_ = soon;
+  if (!owns_) look_at_ = hooks_.now();
 }
 
 void OwnershipKeeper::OnOwnerAnnounced(const OwnerRecord& owner) {
@@ -103,7 +103,7 @@
 void OwnershipKeeper::OnRow(const Row& row, TimePoint sent_at) {
   const TimePoint now = hooks_.now();
   if (row.version == 0) {
-    Claim(row, /*released=*/true);
+    if (MayClaim(true, now)) Claim(row, /*released=*/true);
     return;
   }
   const Result<OwnerRecord> decoded = DecodeRecord<OwnerRecord>(row.value);
@@ -120,24 +120,29 @@
     Take(seen, row.version, sent_at, /*released=*/false);
     return;
   }
-  if (own_row) {
-    // We owned it and stopped acting; what we did is known to no one, so it
-    // takes a new epoch to go on.
-    Claim(row, /*released=*/true);
-    return;
-  }
-  const bool handed_over = handed_over_epoch_ == seen.epoch;
-  if (seen.released || handed_over) {
-    Claim(row, /*released=*/true);
-    return;
-  }
+  // We owned it and stopped acting; what we did is known to no one, so it
+  // takes a new epoch to go on. Or it was given to us.
+  const bool given = own_row || handed_over_epoch_ == seen.epoch;
   // An earlier run of this process is gone for certain.
   const bool own_earlier_run = seen.owner == options_.name;
-  if (own_earlier_run || OwnerLooksLost(now)) {
-    Claim(row, /*released=*/false);
+  const bool free = seen.released || own_earlier_run || OwnerLooksLost(now);
+  if (MayClaim(free, now) || given) {
+    Claim(row, seen.released || given);
     return;
   }
-  if (new_owner) hooks_.on_follow(seen);
+  if (new_owner && !free) hooks_.on_follow(seen);
+}
+
+bool OwnershipKeeper::MayClaim(bool claimable, TimePoint now) {
+  if (!claimable) {
+    claimable_since_.reset();
+    return false;
+  }
+  if (!claimable_since_) claimable_since_ = now;
+  const Duration delay = hooks_.claim_delay();
+  if (now - *claimable_since_ >= delay) return true;
+  look_at_ = std::min(look_at_, *claimable_since_ + delay);
+  return false;
 }
 
 void OwnershipKeeper::Claim(const Row& row, bool released) {
@@ -180,6 +185,7 @@
   owns_ = true;
   last_owned_epoch_ = record.epoch;
   handed_over_epoch_ = 0;
+  claimable_since_.reset();
   hooks_.log("ownership_taken", "epoch " + std::to_string(record.epoch));
   hooks_.on_taken(record.epoch, released, record.epoch == 1);
 }
--- a/beamhill/dispatch/ownership_keeper.h
+++ b/beamhill/dispatch/ownership_keeper.h
@@ -41,7 +41,7 @@
   // longest outage of the table that work outlives.
   Duration authority_term = std::chrono::seconds(8);
   // An owner with nothing to store rewrites its row this often.
-  Duration confirm_interval = std::chrono::seconds(1);
+  Duration confirm_interval = std::chrono::milliseconds(500);
   // An owner that its peers don't hear and whose row has not changed for so
   // long is taken for lost. Above the confirm interval and a slow answer.
   Duration unchanged_before_claim = std::chrono::milliseconds(1700);
@@ -55,6 +55,8 @@
 struct OwnershipKeeperHooks {
   std::function<TimePoint()> now;
   std::function<double()> random;  // Uniform in [0, 1).
+  // How long a row that is free to be claimed is left to others.
+  std::function<Duration()> claim_delay;
   // Another process owns the row.
   std::function<void(const OwnerRecord&)> on_follow;
   // This process owns it now. `released`: the earlier owner had stopped
@@ -108,6 +110,8 @@
   bool Remember(const OwnerRecord& seen, uint64_t version, TimePoint sent_at);
   void OnRow(const Row& row, TimePoint sent_at);
   bool OwnerLooksLost(TimePoint now) const;
+  // Whether the row may be claimed, and has been so for the claim delay.
+  bool MayClaim(bool claimable, TimePoint now);
   void Claim(const Row& row, bool released);
   void Take(const OwnerRecord& record, uint64_t version, TimePoint sent_at,
             bool released);
@@ -136,6 +140,7 @@
   TimePoint heard_at_{};
   TimePoint look_at_{};
   TimePoint no_claim_before_{};
+  std::optional<TimePoint> claimable_since_;
   uint64_t gone_incarnation_ = 0;
   uint64_t handed_over_epoch_ = 0;
   uint64_t last_owned_epoch_ = 0;
--- a/beamhill/dispatch/ownership_keeper_test.cc
+++ b/beamhill/dispatch/ownership_keeper_test.cc
@@ -23,6 +23,7 @@
     std::vector<uint64_t> taken;
     std::vector<std::string> followed;
     bool lost = false;
+    Duration claim_delay{};
   };
 
   Node& Add(const std::string& name, uint64_t incarnation) {
@@ -35,6 +36,7 @@
     OwnershipKeeperHooks hooks;
     hooks.now = [this] { return now_; };
     hooks.random = [] { return 0.5; };
+    hooks.claim_delay = [&node] { return node.claim_delay; };
     hooks.on_follow = [&node](const OwnerRecord& owner) {
       node.followed.push_back(owner.owner);
     };
@@ -74,6 +76,23 @@
   EXPECT_THAT(b.followed, ElementsAre("a"));
 }
 
+TEST_F(OwnershipKeeperTest, WeakerOneLeavesAFreeRowToAStrongerOne) {
+  Node& weak = Add("weak", 1);
+  weak.claim_delay = milliseconds(500);
+  Pass(milliseconds(200), {&weak});
+  Node& strong = Add("strong", 2);
+  Pass(seconds(1), {&weak, &strong});
+  EXPECT_THAT(weak.taken, ElementsAre());
+  EXPECT_THAT(strong.taken, ElementsAre(1));
+}
+
+TEST_F(OwnershipKeeperTest, WeakOneClaimsWhenNobodyElseDoes) {
+  Node& weak = Add("weak", 1);
+  weak.claim_delay = milliseconds(500);
+  Pass(seconds(1), {&weak});
+  EXPECT_THAT(weak.taken, ElementsAre(1));
+}
+
 TEST_F(OwnershipKeeperTest, LivingOwnerIsLeftAloneEvenUnheard) {
   Node& a = Add("a", 1);
   Node& b = Add("b", 2);
--- /dev/null
+++ b/beamhill/scheduler/handover.cc
@@ -0,0 +1,59 @@
+#include "beamhill/scheduler/handover.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace beamhill {
+namespace {
+
+constexpr double kCoresNeeded = 0.25;
+constexpr double kLinkMbpsNeeded = 50;
+// The longest that a weak host leaves a row to others: a stronger one that
+// lives reads the row within this.
+constexpr Duration kLongestClaimDelay = std::chrono::milliseconds(600);
+// What a peer said longer ago may no longer hold.
+constexpr Duration kFreshHeartbeat = std::chrono::milliseconds(800);
+// The store answered the peer so lately, counted until now.
+constexpr Duration kServedWithin = std::chrono::milliseconds(700);
+// An owner asks the store at least each 400 ms, so that this is a second
+// call without an answer.
+constexpr Duration kCutOffAfter = std::chrono::milliseconds(1000);
+// A weak owner gives way to a host of this many times its strength, but not
+// before it has got somewhere: each change costs a pause of some 0.3 s.
+constexpr double kMuchStronger = 2;
+constexpr Duration kSettledAfter = std::chrono::seconds(2);
+
+}  // namespace
+
+double HostStrength(double cores, double link_mbps) {
+  return std::min(cores / kCoresNeeded, link_mbps / kLinkMbpsNeeded);
+}
+
+Duration ClaimDelay(double strength) {
+  const double missing = 1 - std::clamp(strength, 0.0, 1.0);
+  return std::chrono::duration_cast<Duration>(missing * kLongestClaimDelay);
+}
+
+std::optional<size_t> BestServedPeer(const std::vector<PeerView>& peers) {
+  std::optional<size_t> best;
+  const auto rank = [&](size_t i) {
+    // More than enough counts for nothing.
+    return std::pair(std::min(peers[i].strength, 1.0),
+                     -(peers[i].store_silence + peers[i].heard_ago));
+  };
+  for (size_t i = 0; i < peers.size(); ++i) {
+    const PeerView& peer = peers[i];
+    const bool served = peer.store_silence + peer.heard_ago < kServedWithin;
+    if (peer.heard_ago >= kFreshHeartbeat || !served) continue;
+    if (!best || rank(i) > rank(*best)) best = i;
+  }
+  return best;
+}
+
+bool ShouldHandOver(const OwnerView& owner, const PeerView& peer) {
+  if (owner.store_silence >= kCutOffAfter) return true;
+  return owner.strength < 1 && owner.owned_for >= kSettledAfter &&
+         peer.strength >= kMuchStronger * owner.strength;
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/scheduler/handover.h
@@ -0,0 +1,50 @@
+// Whether an owner should give the work to a peer, and to which.
+//
+// Pure. An owner that the store doesn't answer while it answers a peer holds
+// everything up; one on a weak VM falls behind a deployment of many VMs.
+//
+//   const auto best = BestServedPeer(peers);
+//   if (best && ShouldHandOver(own, peers[*best])) HandOverTo(*best);
+#ifndef BEAMHILL_SCHEDULER_HANDOVER_H_
+#define BEAMHILL_SCHEDULER_HANDOVER_H_
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include "beamhill/base/time.h"
+
+namespace beamhill {
+
+// What a VM has for an owner, relative to what an owner of some hundred VMs
+// needs (a quarter of a core and 50 Mbit/s, from plays at 76 VMs): at 1 or
+// above it has enough.
+double HostStrength(double cores, double link_mbps);
+
+// How long a host of that strength leaves a free row to stronger ones.
+Duration ClaimDelay(double strength);
+
+// A peer, by its last heartbeat.
+struct PeerView {
+  Duration heard_ago{};
+  Duration store_silence{};  // Since the store last answered it, then.
+  double strength = 1;
+};
+
+// The owner itself.
+struct OwnerView {
+  Duration store_silence{};
+  Duration owned_for{};
+  double strength = 1;
+};
+
+// The strongest peer that the store answers, by what was heard lately; among
+// equals the one that it answered last.
+std::optional<size_t> BestServedPeer(const std::vector<PeerView>& peers);
+
+// Whether the owner should give way to that peer, which the store answers.
+bool ShouldHandOver(const OwnerView& owner, const PeerView& peer);
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_SCHEDULER_HANDOVER_H_
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -11,13 +11,12 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(50);
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(300);
-// What a peer said longer ago may no longer hold.
-constexpr Duration kFreshHeartbeat = std::chrono::milliseconds(800);
 // An owner's link that is silent for so long is dialed anew.
 constexpr Duration kOwnerSilence = std::chrono::milliseconds(2500);
-// An owner that the table has not answered for so long hands over to a peer
-// that is still served.
-constexpr Duration kCutOffAfter = std::chrono::milliseconds(2600);
+// The table is asked for a sign of life when it has given none for so long.
+constexpr Duration kProbeAfter = std::chrono::milliseconds(400);
+// It counts as out of reach after so long: longer than a call's timeout.
+constexpr Duration kStoreSilence = std::chrono::milliseconds(1800);
 // Added to inherited bounds for messages on their way.
 constexpr Duration kBoundMargin = std::chrono::milliseconds(500);
 
@@ -81,6 +80,7 @@
   hooks.random = [this] {
     return std::uniform_real_distribution<double>(0, 1)(random_);
   };
+  hooks.claim_delay = [this] { return ClaimDelay(settings_.strength); };
   hooks.on_follow = [this](const OwnerRecord& owner) { Follow(owner); };
   hooks.on_taken = [this](uint64_t epoch, bool released, bool first) {
     OnTaken(epoch, released, first);
@@ -95,6 +95,7 @@
 
 void Scheduler::OnTaken(uint64_t epoch, bool released, bool first) {
   if (owner_peer_) retired_peers_.push_back(std::move(owner_peer_));
+  taken_at_ = BootClock::now();
   WorkOwnerOptions options;
   options.epoch = epoch;
   options.lease_term = settings_.lease_term;
@@ -135,45 +136,77 @@
       std::make_unique<DialedPeer>(loop_, ValueOf(address), std::move(hooks));
 }
 
-Link* Scheduler::ServedPeer() {
-  for (auto& [link, peer] : peers_) {
-    const bool fresh = BootClock::now() - peer.heard_at < kFreshHeartbeat;
-    if (fresh && peer.last.store_answers) return link;
+PeerView Scheduler::ViewOf(const Peer& peer) {
+  return {BootClock::now() - peer.heard_at, peer.last.store_silence,
+          peer.last.strength};
+}
+
+const Scheduler::Peer* Scheduler::Successor() const {
+  std::vector<PeerView> views;
+  std::vector<const Peer*> candidates;
+  for (const auto& [link, peer] : peers_) {
+    if (peer.last.name.empty()) continue;  // It has not said anything yet.
+    views.push_back(ViewOf(peer));
+    candidates.push_back(&peer);
   }
-  return nullptr;
+  const auto best = BestServedPeer(views);
+  return best ? candidates[*best] : nullptr;
 }
 
 void Scheduler::OfferHandOver(uint64_t epoch) {
-  Link* link = ServedPeer();
-  if (link == nullptr) return;
+  const Peer* peer = Successor();
+  if (peer == nullptr) return;
   Log(LogLevel::kInfo, "handing_over",
-      {{"to", peers_.at(link).last.name}, {"epoch", epoch}});
-  link->Send(EncodeDispatch(HandOver{epoch}));
+      {{"to", peer->last.name}, {"epoch", epoch}});
+  peer->link->Send(EncodeDispatch(HandOver{epoch}));
 }
 
-void Scheduler::HandOverIfCutOff() {
-  const bool cut_off = keeper_->owns() &&
-                       keeper_->SinceConfirmed() >= kCutOffAfter &&
-                       ServedPeer() != nullptr;
-  if (!cut_off) return;
+void Scheduler::HandOverIfDue() {
+  const Peer* peer = keeper_->owns() ? Successor() : nullptr;
+  if (peer == nullptr) return;
+  const OwnerView own = {hooks_.store_silence(), BootClock::now() - taken_at_,
+                         settings_.strength};
+  if (!ShouldHandOver(own, ViewOf(*peer))) return;
+  Log(LogLevel::kInfo, "giving_way",
+      {{"to", peer->last.name},
+       {"store_silence_ms", ToMillis(own.store_silence)},
+       {"strength", own.strength},
+       {"peer_strength", peer->last.strength}});
   const uint64_t epoch = keeper_->epoch();
   keeper_->HandOverTo();
   OfferHandOver(epoch);
 }
 
+bool Scheduler::StoreAnswers() const {
+  return hooks_.store_silence() < kStoreSilence;
+}
+
+void Scheduler::ProbeStore() {
+  if (probing_ || hooks_.store_silence() < kProbeAfter) return;
+  probing_ = true;
+  table_.read({OwnershipKeeperOptions().row_key},
+              lifetime_.Guard(
+                  [this](const Result<std::vector<Row>>&) { probing_ = false; }));
+}
+
 void Scheduler::Tick() {
   retired_peers_.clear();
   retired_owner_.reset();
   retired_announcements_.clear();
   keeper_->Tick();
-  HandOverIfCutOff();
   const TimePoint now = BootClock::now();
+  if (keeper_->owns()) ProbeStore();
+  HandOverIfDue();
+  QueryPeers(now);
   DropOldNotices(now);
+  const bool beat_due = now - last_heartbeat_ >= kHeartbeatInterval;
+  if (beat_due) {
+    last_heartbeat_ = now;
+    for (const auto& query : queries_) query->Send(Heartbeat());
+  }
   if (!owner_peer_) return;
   owner_peer_->CloseIfSilent(kOwnerSilence);
-  if (now - last_heartbeat_ < kHeartbeatInterval) return;
-  last_heartbeat_ = now;
-  owner_peer_->Send(Heartbeat());
+  if (beat_due) owner_peer_->Send(Heartbeat());
 }
 
 void Scheduler::Leave(std::function<void()> done) {
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -20,11 +20,13 @@
 #include <vector>
 
 #include "beamhill/base/error.h"
+#include "beamhill/base/lifetime.h"
 #include "beamhill/dispatch/ownership_keeper.h"
 #include "beamhill/event/event_loop.h"
 #include "beamhill/link/link.h"
 #include "beamhill/metrics/metrics.h"
 #include "beamhill/scheduler/dialed_peer.h"
+#include "beamhill/scheduler/handover.h"
 #include "beamhill/scheduler/job_desk.h"
 #include "beamhill/scheduler/open_calls.h"
 #include "beamhill/scheduler/work_owner.h"
@@ -39,11 +41,13 @@
   Duration lease_term = std::chrono::seconds(5);
   // How long an owner may act without a transaction that took effect.
   Duration authority_term = std::chrono::seconds(8);
+  // Of this VM, see HostStrength.
+  double strength = 1;
 };
 
 struct SchedulerHooks {
-  // Whether the table answered lately.
-  std::function<bool()> store_answers;
+  // How long ago the table last answered any call of this process.
+  std::function<Duration()> store_silence;
   // The newest service settings: version and document, and a peer's copy.
   std::function<uint64_t()> settings_version;
   std::function<std::string()> settings_document;
@@ -107,11 +111,15 @@
   void OnTaken(uint64_t epoch, bool released, bool first);
   // Dials the new owner.
   void Follow(const OwnerRecord& owner);
-  // A peer that the table answers, by what it said lately; or null.
-  Link* ServedPeer();
+  // The best peer to give the work to, by what it said lately; or null.
+  const Peer* Successor() const;
+  static PeerView ViewOf(const Peer& peer);
   // Tells such a peer that this process has stopped acting under the epoch.
   void OfferHandOver(uint64_t epoch);
-  void HandOverIfCutOff();
+  void HandOverIfDue();
+  // Asks the table for a sign of life when it has given none for a while.
+  void ProbeStore();
+  bool StoreAnswers() const;
   void Tick();
 
   // In scheduler_peers.cc.
@@ -131,6 +139,11 @@
   void Notify(const DispatchMessage& message, const std::string& key);
   void SendNotices();
   void DropOldNotices(TimePoint now);
+  // While neither the table nor an owner is heard, asks other schedulers for
+  // newer service settings and for the owner.
+  void QueryPeers(TimePoint now);
+  void QueryPeer(const Address& address);
+  void OnQueryAnswer(const DispatchMessage& message);
   static std::string CancelKey(const std::string& workflow);
 
   // In scheduler_calls.cc.
@@ -170,6 +183,10 @@
   OpenCalls<uint8_t> relays_;  // Answered by the number of the result.
   uint64_t next_call_ = 1;     // Numbers questions and relayed calls.
   bool owner_store_answers_ = false;
+  TimePoint owner_heard_at_{};
+  TimePoint taken_at_{};  // When this process took the ownership.
+  bool probing_ = false;
+  std::vector<std::unique_ptr<DialedPeer>> queries_;
   // Addresses of schedulers, as the owner told them.
   std::set<std::string> known_peers_;
   // Links on which this process makes its ownership known.
@@ -180,6 +197,7 @@
   Timer tick_;
   std::vector<std::unique_ptr<DialedPeer>> retired_peers_;
   std::unique_ptr<WorkOwner> retired_owner_;
+  Lifetime lifetime_;
 };
 
 }  // namespace beamhill
--- a/beamhill/scheduler/scheduler_calls.cc
+++ b/beamhill/scheduler/scheduler_calls.cc
@@ -94,7 +94,7 @@
             done(AfterRelay(here, result));
           });
   };
-  if (!hooks_.store_answers() && CanRelay()) {
+  if (!StoreAnswers() && CanRelay()) {
     relay(SubmitResult::kRefused);
     return;
   }
@@ -119,7 +119,7 @@
                         : CancelResult::kUnknown);
           });
   };
-  if (!hooks_.store_answers() && CanRelay()) {
+  if (!StoreAnswers() && CanRelay()) {
     relay();
     return;
   }
--- a/beamhill/scheduler/scheduler_peers.cc
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -1,5 +1,6 @@
 // The part of Scheduler that talks with its peers: heartbeats, notices of what
 // was stored, announcements of a new owner.
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -16,6 +17,12 @@
 // the table. Far below the time that finished workflows are kept, so that a
 // late notice can't bring one back.
 constexpr Duration kNoticeLife = std::chrono::seconds(30);
+// An owner that the table has not answered for so long may be cut off from it.
+constexpr Duration kOwnerCutOff = std::chrono::milliseconds(550);
+// Without an answer of the table and without a word of an owner for so long,
+// other schedulers are asked, so many at a time.
+constexpr Duration kAloneAfter = std::chrono::milliseconds(900);
+constexpr size_t kQueriedPeers = 3;
 
 }  // namespace
 
@@ -29,7 +36,9 @@
   beat.address = ToString(settings_.peers);
   beat.incarnation = incarnation_;
   beat.epoch = keeper_->owns() ? keeper_->epoch() : 0;
-  beat.store_answers = hooks_.store_answers();
+  beat.known_epoch = keeper_->record().epoch;
+  beat.store_silence = hooks_.store_silence();
+  beat.strength = settings_.strength;
   beat.settings_version = hooks_.settings_version();
   if (keeper_->owns()) {
     for (const auto& [link, peer] : peers_) {
@@ -50,9 +59,11 @@
 void Scheduler::OnOwnerMessage(const DispatchMessage& message) {
   if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
     if (beat->epoch >= followed_.epoch) keeper_->OnOwnerHeard(beat->epoch);
-    owner_store_answers_ = beat->store_answers;
+    owner_heard_at_ = BootClock::now();
+    owner_store_answers_ = beat->store_silence < kOwnerCutOff;
     known_peers_.insert(beat->peers.begin(), beat->peers.end());
-    if (!beat->store_answers) keeper_->OnOwnerCutOff();
+    // The answer, if there is one, makes this process a successor.
+    if (beat->store_silence >= kOwnerCutOff) ProbeStore();
     if (beat->incarnation != followed_.incarnation) {
       keeper_->OnOwnerGone(followed_.incarnation);
     }
@@ -60,6 +71,8 @@
                   [this](const DispatchMessage& m) { owner_peer_->Send(m); });
   } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
     hooks_.on_settings_copy(copy->version, copy->document);
+  } else if (const auto* later = std::get_if<OwnerAnnounced>(&message)) {
+    keeper_->OnOwnerAnnounced(later->record);
   } else if (const auto* taken = std::get_if<NoticeTaken>(&message)) {
     notices_.erase(taken->workflow);
   } else if (const auto* over = std::get_if<HandOver>(&message)) {
@@ -101,6 +114,9 @@
     peer.heard_at = BootClock::now();
     send(Heartbeat());
     ShareSettings(beat->settings_version, send);
+    if (beat->known_epoch < keeper_->record().epoch) {
+      send(OwnerAnnounced{keeper_->record()});
+    }
   } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
     hooks_.on_settings_copy(copy->version, copy->document);
   } else if (const auto* stored = std::get_if<WorkflowStored>(&message)) {
@@ -138,6 +154,49 @@
   for (const auto& [key, notice] : notices_) owner_peer_->Send(notice.message);
 }
 
+void Scheduler::QueryPeers(TimePoint now) {
+  const bool alone = !keeper_->owns() &&
+                     hooks_.store_silence() >= kAloneAfter &&
+                     now - owner_heard_at_ >= kAloneAfter;
+  if (!alone) {
+    queries_.clear();
+    return;
+  }
+  if (!queries_.empty()) {
+    for (const auto& query : queries_) query->CloseIfSilent(kAloneAfter);
+    return;
+  }
+  std::vector<std::string> addresses(known_peers_.begin(), known_peers_.end());
+  std::shuffle(addresses.begin(), addresses.end(), random_);
+  for (const std::string& text : addresses) {
+    const Result<Address> address = ParseAddress(text);
+    if (!IsOk(address) || text == ToString(settings_.peers)) continue;
+    QueryPeer(ValueOf(address));
+    if (queries_.size() == kQueriedPeers) break;
+  }
+}
+
+void Scheduler::QueryPeer(const Address& address) {
+  Log(LogLevel::kInfo, "asking_peer",
+      {{"peer", ToString(address)},
+       {"settings_version", hooks_.settings_version()}});
+  const size_t index = queries_.size();
+  DialedPeerHooks hooks;
+  hooks.on_open = [this, index] { queries_[index]->Send(Heartbeat()); };
+  hooks.on_message = [this](const DispatchMessage& m) { OnQueryAnswer(m); };
+  hooks.on_down = [](bool) {};
+  queries_.push_back(
+      std::make_unique<DialedPeer>(loop_, address, std::move(hooks)));
+}
+
+void Scheduler::OnQueryAnswer(const DispatchMessage& message) {
+  if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
+    hooks_.on_settings_copy(copy->version, copy->document);
+  } else if (const auto* announced = std::get_if<OwnerAnnounced>(&message)) {
+    keeper_->OnOwnerAnnounced(announced->record);
+  }
+}
+
 void Scheduler::Announce() {
   for (const std::string& text : known_peers_) {
     const Result<Address> address = ParseAddress(text);
