Order fillers by their workflow, move serving tasks by what was learned

(1) All fillers of an image on a VM were slowed alike, and all were late. (2) Which images serve on a VM was decided before anything was known of who disturbs whom, and most VMs held some image that nearly every filler harms. (3) A VM without serving tasks took fillers beyond twice its processors, where they waited for up to 35 s while other VMs had room; what ran where and how long was read from the logs by image.

Change: an executor gives pace and processor time to fillers in the owner's order (late ones last, then by remaining work); the owner counts room in that order, pushes aside a quarter of a VM at most, and moves runs that get little; ServingLayout prices a VM's free time by which fillers may use it, and serving tasks are placed and moved by that, one of a step at a time.

--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -57,6 +57,24 @@
   }
 };
 
+// What pacing needs to know of a task.
+struct TaskTraits {
+  std::string image;
+  bool fills = false;
+  Duration tail_target{};  // Of a serving task; 0: it doesn't serve.
+  int64_t cpu_millis = 0;  // What it would like to use.
+  // Of fillers, the one with the lowest order keeps its pace longest.
+  double yield_order = 0;
+
+  bool paced() const { return fills || tail_target > Duration(0); }
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.image, s.fills, s.tail_target, s.cpu_millis,
+                    s.yield_order);
+  }
+};
+
 // Owner to executor: start these tasks of one step.
 struct StartRuns {
   uint64_t epoch = 0;
@@ -65,33 +83,28 @@
   uint32_t round = 0;
   uint32_t step = 0;
   std::string payload;
-  std::string image;
-  bool fills = false;
-  Duration tail_target{};
+  TaskTraits traits;
   std::vector<StartRun> runs;
 
   template <typename S>
   static auto Fields(S& s) {
     return std::tie(s.epoch, s.life, s.workflow, s.round, s.step, s.payload,
-                    s.image, s.fills, s.tail_target, s.runs);
+                    s.traits, s.runs);
   }
 };
 
-// What pacing needs to know of a run.
 struct RunTraits {
   RunRef run;
-  std::string image;
-  bool fills = false;
-  Duration tail_target{};
+  TaskTraits traits;
 
   template <typename S>
   static auto Fields(S& s) {
-    return std::tie(s.run, s.image, s.fills, s.tail_target);
+    return std::tie(s.run, s.traits);
   }
 };
 
-// Owner to executor, after an inventory: the traits of what it found, for an
-// executor that has restarted.
+// Owner to executor: the traits of runs that it holds. After an inventory for
+// an executor that has restarted, and when their order has changed.
 struct RunTraitsList {
   uint64_t epoch = 0;
   std::string life;
@@ -280,17 +293,17 @@
   std::string name;
   std::string address;  // Where the sender is dialed.
   uint64_t incarnation = 0;
-  uint64_t epoch = 0;          // Of its own ownership; 0: it owns nothing.
-  uint64_t known_epoch = 0;    // Of the latest owner that it knows.
-  Duration store_silence{};    // Since the store last answered the sender.
-  double strength = 1;         // Of its VM, see HostStrength.
+  uint64_t epoch = 0;              // Of its own ownership; 0: it owns nothing.
+  uint64_t known_epoch = 0;        // Of the latest owner that it knows.
+  Duration store_silence{};        // Since the store last answered the sender.
+  double strength = 1;             // Of its VM, see HostStrength.
   uint64_t settings_version = 0;   // Of the newest service settings it knows.
   std::vector<std::string> peers;  // Owner: addresses of those that follow it.
 
   template <typename S>
   static auto Fields(S& s) {
-    return std::tie(s.name, s.address, s.incarnation, s.epoch, s.known_epoch, s.store_silence,
-                    s.strength, s.settings_version, s.peers);
+    return std::tie(s.name, s.address, s.incarnation, s.epoch, s.known_epoch,
+                    s.store_silence, s.strength, s.settings_version, s.peers);
   }
 };
 
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -19,12 +19,17 @@
 // one where only others do; against differences in load of at most 1.
 constexpr double kNewToServing = 3;
 constexpr double kMixing = 0.4;
+// And for each core that fillers lose by it, once that is known.
+constexpr double kLayoutCost = 2;
 // What it costs to be in another rack than the data, and on the VM where the
 // task failed; these outweigh any difference in load.
 constexpr double kOtherRack = 4;
 constexpr double kAvoided = 8;
 // What ends later than this many times its objective earns nothing.
 constexpr int kLateFactor = 3;
+// Above the work of any workflow, in core-seconds: what is late yields to all
+// that is not.
+constexpr double kLatenessWeight = 1e6;
 // Runs of an owner are numbered from its epoch times this, so that they are
 // above those of earlier owners without any record of them.
 constexpr uint64_t kRunsPerEpoch = 1000;
@@ -45,6 +50,30 @@
   return now + (began - unix_now) + job.allowed;
 }
 
+int Dispatcher::LatenessOf(const Job& job, uint32_t round, TimePoint now,
+                           UnixMillis unix_now) {
+  const TimePoint due = DueOf(job, round, now, unix_now);
+  const TimePoint end = now + job.progress.RemainingChain(round, now);
+  if (end > due + (kLateFactor - 1) * job.allowed) return 2;
+  return end > due ? 1 : 0;
+}
+
+void Dispatcher::SetYieldOrder(Job& job, TimePoint now, UnixMillis unix_now) {
+  const Workflow& workflow = job.progress.workflow();
+  for (uint32_t round = 0; round < workflow.rounds(); ++round) {
+    const double work = job.progress.RemainingWork(round);
+    if (work <= 0) continue;
+    const int lateness = LatenessOf(job, round, now, unix_now);
+    job.yield_order = lateness * kLatenessWeight + work;
+    return;
+  }
+}
+
+TaskTraits Dispatcher::TraitsOf(const Job& job, const WorkflowStep& step) {
+  return {step.image, step.fills, step.tail_target, step.each.cpu_millis,
+          job.yield_order};
+}
+
 // On time first, then late, then what earns nothing any more; within these by
 // the queue's priority and then the least work: what is worth most for the
 // processor time that it takes, and soonest out of the way.
@@ -58,10 +87,7 @@
     const Workflow& workflow = job->progress.workflow();
     for (const auto& open : job->progress.OpenSteps(unix_now)) {
       const TimePoint due = DueOf(*job, open.round, now, unix_now);
-      const TimePoint end = now + job->progress.RemainingChain(open.round, now);
-      int lateness = 0;
-      if (end > due) lateness = 1;
-      if (end > due + (kLateFactor - 1) * job->allowed) lateness = 2;
+      int lateness = LatenessOf(*job, open.round, now, unix_now);
       if (workflow.steps[open.step].long_running) lateness = 0;
       const double work = job->progress.RemainingWork(open.round);
       ranked.push_back({Rank{lateness, workflow.policy.priority, work, due},
@@ -141,7 +167,7 @@
       return;
     }
     const RunRef ref{{workflow.id, open.round, open.step, i}, run};
-    Hold(*vm, ref, step);
+    Hold(*vm, ref, job, step);
     reserved.emplace_back(name, ref);
   }
   for (const auto& [name, ref] : reserved) {
@@ -191,9 +217,11 @@
     return busy + harm;
   }
   if (step.tail_target > Duration(0)) {
-    if (vm.serving.empty()) return kNewToServing + filling / whole;
+    const double loss =
+        kLayoutCost * LayoutLoss(vm, step.image, step.each.cpu_millis);
+    if (vm.serving.empty()) return loss + kNewToServing + filling / whole;
     const double mixing = vm.serving.count(step.image) > 0 ? 0 : kMixing;
-    return mixing + (filling - used) / whole;
+    return loss + mixing + (filling - used) / whole;
   }
   return -used / whole;
 }
@@ -259,7 +287,7 @@
                          const TaskRef& ref, uint64_t run, TimePoint now) {
   const Workflow& workflow = job.progress.workflow();
   const WorkflowStep& step = workflow.steps[ref.step];
-  Hold(vm, {ref, run}, step);
+  Hold(vm, {ref, run}, job, step);
   const std::string checkpoint =
       step.saves_progress ? job.progress.At(ref).checkpoint : "";
   job.progress.OnStarted(ref, run, name, now);
@@ -273,9 +301,7 @@
     starts.round = ref.round;
     starts.step = ref.step;
     starts.payload = workflow.payload;
-    starts.image = step.image;
-    starts.fills = step.fills;
-    starts.tail_target = step.tail_target;
+    starts.traits = TraitsOf(job, step);
   }
   const Ticket* ticket =
       TicketFor(job, {ref.round, ref.step}, vm.status.life, now);
@@ -284,7 +310,8 @@
   Decide(ref.workflow, "run_ordered",
          ref.ToString() + " run " + std::to_string(run) + " on " + name +
              ", used " + std::to_string(vm.used.cpu_millis) + " of " +
-             std::to_string(vm.status.capacity.cpu_millis));
+             std::to_string(vm.status.capacity.cpu_millis) +
+             (step.image.empty() ? "" : ", image " + step.image));
 }
 
 void Dispatcher::FlushStarts() {
--- a/beamhill/dispatch/dispatch_pressure_test.cc
+++ b/beamhill/dispatch/dispatch_pressure_test.cc
@@ -38,8 +38,7 @@
         const bool calm = vm == calm_vm;
         const Duration tail = milliseconds(calm ? 6 : 6 + cpu / 100);
         dispatcher_->OnPressure(
-            vm, {2, {{calm ? "calm" : "touchy", tail}}, {{"f", cpu, 100}}},
-            now_);
+            vm, {2, {{calm ? "calm" : "touchy", tail}}, {{"f", cpu, 100}}});
       }
     }
   }
@@ -88,12 +87,95 @@
     for (const char* vm : {"vm-1", "vm-2"}) {
       dispatcher_->OnHeartbeat(vm, {2, now_}, now_);
     }
-    dispatcher_->OnPressure(
-        other, {2, {{"touchy", milliseconds(25)}}, {{"f", 0, 0}}}, now_);
+    dispatcher_->OnPressure(other,
+                            {2, {{"touchy", milliseconds(25)}}, {{"f", 0, 0}}});
     dispatcher_->Tick(now_, kUnix);
   }
   EXPECT_THAT(Take().stops, Contains(std::pair(other, starts[0].second)));
 }
 
+TEST_F(DispatcherPressureTest, FillerThatSavesNothingIsMovedOnlyWhenHopeless) {
+  const std::string calm_vm = ServeCalmAndTouchy();
+  const std::string other = calm_vm == "vm-1" ? "vm-2" : "vm-1";
+  dispatcher_->OnLinkDown(calm_vm);
+  Workflow filling = Filler();
+  filling.steps[0].saves_progress = false;
+  dispatcher_->AddWorkflow(filling, std::nullopt, now_);
+  ASSERT_THAT(Tick().starts, SizeIs(1));
+  Link(calm_vm, {{{"calm", 0, 0, 0}, 1001}});
+  Teach(calm_vm);
+  const auto starve = [&](int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      now_ += milliseconds(300);
+      for (const char* vm : {"vm-1", "vm-2"}) {
+        dispatcher_->OnHeartbeat(vm, {2, now_}, now_);
+      }
+      dispatcher_->OnPressure(
+          other, {2, {{"touchy", milliseconds(25)}}, {{"f", 0, 0}}});
+      dispatcher_->Tick(now_, kUnix);
+    }
+    return Take().stops;
+  };
+  EXPECT_THAT(starve(5), SizeIs(0));
+  EXPECT_THAT(starve(6), SizeIs(1));
+}
+
+TEST_F(DispatcherPressureTest, VmTakesFewFillersBeyondItsProcessors) {
+  Take({});
+  Link("vm-1");
+  // Eight cores: four fillers of two. More work comes, which is more urgent.
+  Workflow large = Filler();
+  large.id = "large";
+  large.steps[0].tasks = 10;
+  dispatcher_->AddWorkflow(large, std::nullopt, now_);
+  EXPECT_THAT(Tick().starts, SizeIs(4));
+  Workflow small = Filler();
+  small.id = "small";
+  small.steps[0].tasks = 4;
+  dispatcher_->AddWorkflow(small, std::nullopt, now_);
+  const auto starts = Tick().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts[0].second.task.workflow, "small");
+}
+
+// Two serving images share one VM, and the filler harms one of them. Where it
+// is kept away anyway that one does no further damage.
+TEST_F(DispatcherPressureTest, ServingTaskMovesWhereItKeepsFewerFillersAway) {
+  Take({});
+  Link("vm-1");
+  Link("vm-2");
+  const auto serve = [&](const std::string& image, int64_t cpu) {
+    Workflow serving = OneStep(image, 1, 2);
+    serving.steps[0].each = {cpu, 1000, 0};
+    serving.steps[0].image = image;
+    serving.steps[0].tail_target = milliseconds(20);
+    serving.steps[0].long_running = true;
+    dispatcher_->AddWorkflow(serving, std::nullopt, now_);
+    return Tick().starts.at(0).first;
+  };
+  const std::string mixed = serve("calm", 2000);
+  ASSERT_EQ(serve("touchy", 2000), mixed);
+  const std::string other = serve("tender", 6000);
+  ASSERT_NE(other, mixed);
+  for (int i = 0; i < 60; ++i) {
+    const int64_t cpu = (i % 4) * 1000;
+    const Duration harmed = milliseconds(6 + cpu / 100);
+    dispatcher_->OnPressure(mixed,
+                            {2,
+                             {{"calm", milliseconds(6)}, {"touchy", harmed}},
+                             {{"f", cpu, 100}}});
+    dispatcher_->OnPressure(other,
+                            {2, {{"tender", harmed}}, {{"f", cpu, 100}}});
+  }
+  Workflow filling = Filler();
+  filling.steps[0].tasks = 20;
+  dispatcher_->AddWorkflow(filling, std::nullopt, now_);
+  Pass(std::chrono::seconds(5), {"vm-1", "vm-2"});
+  const auto stops = Take().stops;
+  ASSERT_THAT(stops, SizeIs(1));
+  EXPECT_EQ(stops[0].first, mixed);
+  EXPECT_EQ(stops[0].second.task.workflow, "touchy");
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -41,8 +41,10 @@
   }
 }
 
-void Dispatcher::Hold(Vm& vm, const RunRef& run, const WorkflowStep& step) {
+void Dispatcher::Hold(Vm& vm, const RunRef& run, const Job& job,
+                      const WorkflowStep& step) {
   HeldRun held;
+  held.yield_order = job.yield_order;
   held.amount = step.each;
   held.image = step.image;
   held.tail_target = step.tail_target;
@@ -52,6 +54,7 @@
   }
   if (held.tail_target > Duration(0)) {
     vm.serving_cpu += held.amount.cpu_millis;
+    tail_targets_[step.image] = step.tail_target;
     ServingImage& image = vm.serving[step.image];
     ++image.runs;
     image.tail_target = step.tail_target;
@@ -128,7 +131,7 @@
   Job* job = Find(run.task.workflow);
   if (job != nullptr && job->progress.Has(run.task)) {
     const WorkflowProgress::Task& task = job->progress.At(run.task);
-    Hold(vm, run, job->progress.workflow().steps[run.task.step]);
+    Hold(vm, run, *job, job->progress.workflow().steps[run.task.step]);
     if (!job->progress.over() &&
         task.phase == WorkflowProgress::Phase::kWaiting &&
         run.run >= task.run) {
@@ -197,9 +200,8 @@
     const Job* job = Find(run.task.workflow);
     if (job == nullptr) continue;
     const WorkflowStep& step = job->progress.workflow().steps[run.task.step];
-    if (step.fills || step.tail_target > Duration(0)) {
-      list.runs.push_back({run, step.image, step.fills, step.tail_target});
-    }
+    const TaskTraits traits = TraitsOf(*job, step);
+    if (traits.paced()) list.runs.push_back({run, traits});
   }
   if (!list.runs.empty()) Send(name, std::move(list));
 }
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -67,6 +67,8 @@
   Job& added = *job;
   jobs_.emplace(workflow.id, std::move(job));
   if (!added.progress.over() && !added.opened) MarkDirty(added);
+  // Before it is late; brought up to date from then on.
+  added.yield_order = added.progress.RemainingWork(0);
   Decide(workflow.id, "workflow_added",
          added.inherited ? "inherited" : "new here");
 }
@@ -185,7 +187,9 @@
 void Dispatcher::Tick(TimePoint now, UnixMillis unix_now) {
   ExpireLeases(now);
   if (!may_act_) return;
+  RefreshOrder(now, unix_now);
   MoveStarved(now);
+  RefreshLayout(now);
   StartWaiting(now, unix_now);
 }
 
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -39,6 +39,7 @@
 #include "beamhill/base/time.h"
 #include "beamhill/dispatch/dispatch_messages.h"
 #include "beamhill/placement/pairwise_interference.h"
+#include "beamhill/placement/serving_layout.h"
 #include "beamhill/placement/worker_health.h"
 #include "beamhill/workflow/workflow_progress.h"
 
@@ -141,8 +142,7 @@
   bool OnInventory(const std::string& vm, const VmInventory& inventory,
                    TimePoint now);
   // Teaches which filling image disturbs which serving one.
-  void OnPressure(const std::string& vm, const VmPressure& pressure,
-                  TimePoint now);
+  void OnPressure(const std::string& vm, const VmPressure& pressure);
   void OnReports(const std::string& vm, const RunReports& reports,
                  TimePoint now);
 
@@ -212,6 +212,9 @@
     bool opened = false;     // Stored under this epoch: tasks may start.
     bool inherited = false;  // An earlier owner may have started tasks.
     bool dirty = false;
+    // Which workflow's fillers yield first: the highest. By lateness, then by
+    // the work that is left.
+    double yield_order = 0;
     std::optional<TimePoint> over_at;
     // By round and step; for queues whose placement an advisor restricts.
     std::map<std::pair<uint32_t, uint32_t>, StepAdvice> advice;
@@ -221,6 +224,8 @@
     int64_t filling_cpu = 0;  // What a filler would like of it.
     std::string image;
     Duration tail_target{};  // Above zero: it serves.
+    double yield_order = 0;  // Of a filler, as its executor knows it.
+    std::optional<TimePoint> starved_since;
     bool stopping = false;
   };
   struct ServingImage {
@@ -243,7 +248,6 @@
     std::map<std::string, int64_t> filling;  // By image, as asked for.
     std::map<std::string, int32_t> paces;    // By filling image.
     int64_t filling_cpu_in_use = 0;
-    std::map<std::string, TimePoint> starved_since;  // Images paced low.
     uint64_t processed = 0;  // Highest end taken in, of this life.
     uint64_t settled = 0;    // Highest end reported as durable.
   };
@@ -272,7 +276,8 @@
   bool IsPast(TimePoint bound, TimePoint now) const;
 
   // In dispatch_runs.cc.
-  void Hold(Vm& vm, const RunRef& run, const WorkflowStep& step);
+  void Hold(Vm& vm, const RunRef& run, const Job& job,
+            const WorkflowStep& step);
   void Release(Vm& vm, const RunRef& run);
   void Stop(const std::string& name, Vm& vm, const RunRef& run);
   void StopAllOf(Job& job);
@@ -321,15 +326,60 @@
 
   // In dispatch_pressure.cc.
   void MoveStarved(TimePoint now);
-  int MoveStarvedOf(const std::string& name, Vm& vm, const std::string& image,
-                    TimePoint now);
+  void MoveStarvedOf(const std::string& name, Vm& vm, TimePoint now);
+  // What the filler can expect of the VM's processors, which go to fillers in
+  // their order.
+  double FreeCpuFor(const Vm& vm, double yield_order) const;
+  // The pace of an image's tasks as last reported, in percent.
+  static int32_t PaceOf(const Vm& vm, const std::string& image);
+  // The fillers that have got next to nothing for a while, the first in their
+  // order first.
+  std::vector<RunRef> StarvedRuns(Vm& vm, TimePoint now);
+  static bool MayBeMoved(const HeldRun& held, const WorkflowStep& step,
+                         TimePoint now);
+  // Brings the order of fillers up to date, and tells their executors.
+  void RefreshOrder(TimePoint now, UnixMillis unix_now);
   bool HasCalmPlace(const std::string& except, const Job& job,
                     const WorkflowStep& step, TimePoint now) const;
 
+  // In dispatch_layout.cc.
+  // A serving image leaves a VM: its tasks there, and what fillers win by it.
+  struct Relocation {
+    double gain = 0;  // In cores, less what the moves must win.
+    std::string vm;
+    std::vector<RunRef> runs;
+  };
+  // What serving tasks and others leave of the VM's processors.
+  static double FreeCores(const Vm& vm);
+  static ServingLayout::Images ServingOn(const Vm& vm);
+  void UpdateDemand();
+  bool Harms(const std::string& filling, const std::string& serving) const;
+  void RefreshLayout(TimePoint now);
+  // What fillers lose when a task of the image comes to the VM, and win when
+  // all of them leave it; in cores.
+  double LayoutLoss(const Vm& vm, const std::string& image,
+                    int64_t cpu_millis) const;
+  double LayoutGain(const Vm& vm, const std::string& image) const;
+  // Whether no task of the run's step is away, by anyone's doing.
+  bool AllAtWork(const Job& job, const RunRef& except, TimePoint now) const;
+  std::optional<double> LeastLoss(const std::string& except, const Job& job,
+                                  const WorkflowProgress::OpenStep& at,
+                                  TimePoint now) const;
+  std::optional<Relocation> RelocationOf(const std::string& name, const Vm& vm,
+                                         const std::string& image,
+                                         TimePoint now) const;
+  void RelocateServing(TimePoint now);
+
   // In dispatch_placement.cc.
   void StartWaiting(TimePoint now, UnixMillis unix_now);
   static TimePoint DueOf(const Job& job, uint32_t round, TimePoint now,
                          UnixMillis unix_now);
+  // 0: on time, 1: late, 2: too late to be worth anything.
+  static int LatenessOf(const Job& job, uint32_t round, TimePoint now,
+                        UnixMillis unix_now);
+  // By the earliest round that is not done.
+  static void SetYieldOrder(Job& job, TimePoint now, UnixMillis unix_now);
+  static TaskTraits TraitsOf(const Job& job, const WorkflowStep& step);
   std::vector<OpenStepRef> ByUrgency(TimePoint now, UnixMillis unix_now);
   void StartStep(Job& job, const WorkflowProgress::OpenStep& open,
                  TimePoint now);
@@ -361,6 +411,11 @@
   TimePoint confirmed_at_;
   bool may_act_ = true;
   TimePoint moved_at_{};
+  TimePoint order_refreshed_at_{};
+  TimePoint layout_at_{};
+  ServingLayout layout_;
+  ServingLayout::Demands filler_demand_;
+  std::map<std::string, Duration> tail_targets_;  // By serving image.
 
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, Vm> vms_;
--- a/beamhill/dispatch/dispatcher_benchmark.cc
+++ b/beamhill/dispatch/dispatcher_benchmark.cc
@@ -55,8 +55,8 @@
 VmPressure PressureOf(int64_t vm) {
   VmPressure pressure;
   pressure.epoch = 1;
-  pressure.serving.push_back({NameOf("service-", vm % kServingImages),
-                              std::chrono::milliseconds(10)});
+  pressure.serving.push_back(
+      {NameOf("service-", vm % kServingImages), std::chrono::milliseconds(10)});
   pressure.serving.push_back({NameOf("service-", (vm + 1) % kServingImages),
                               std::chrono::milliseconds(12)});
   for (int64_t i = 0; i < 3; ++i) {
@@ -86,7 +86,7 @@
   owner->Tick(kStart, kUnix);
   for (int round = 0; round < 15; ++round) {
     for (int64_t i = 0; i < vms; ++i) {
-      owner->OnPressure(NameOf("vm-", i), PressureOf(i), kStart);
+      owner->OnPressure(NameOf("vm-", i), PressureOf(i));
     }
   }
   for (int64_t i = 0; i < vms; ++i) {
@@ -111,7 +111,7 @@
   int64_t vm = 0;
   for (auto _ : state) {
     const int64_t at = vm++ % state.range(0);
-    owner->OnPressure(NameOf("vm-", at), PressureOf(at), kStart);
+    owner->OnPressure(NameOf("vm-", at), PressureOf(at));
   }
 }
 BENCHMARK(BM_Pressure)->Arg(76);
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -50,7 +50,7 @@
 
 void Executor::ResetLife() {
   orders_.clear();
-  traits_.clear();
+  paced_.clear();
   settled_ = 0;
   highest_listed_ = 0;
   reported_ = 0;
@@ -181,7 +181,7 @@
   out << "epoch " << epoch_ << " owned " << owned() << " life " << status_.life
       << " draining " << status_.draining << " lease_ms "
       << ToMillis(lease_end_ - hooks_.now()) << " orders " << orders_.size()
-      << " traits " << traits_.size() << " settled " << settled_ << " listed "
+      << " paced " << paced_.size() << " settled " << settled_ << " listed "
       << highest_listed_ << "\n";
   return out.str();
 }
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -93,10 +93,8 @@
     bool call_open = false;
     TimePoint retry_at{};
   };
-  struct Traits {
-    std::string image;
-    bool fills = false;
-    Duration tail_target{};
+  struct Paced {
+    TaskTraits traits;
     int percent = 100;  // As last ordered.
   };
 
@@ -152,6 +150,19 @@
   void OnTraits(const RunTraitsList& list);
   void OnWeights(const PressureWeights& learned);
   void Pace(const RunnerView& view, TimePoint now);
+  // What a look shows of the tasks that pacing heeds.
+  struct PacingView {
+    std::vector<ServingSample> serving;
+    Pacer::FillingShares filling;
+    std::vector<RunRef> fillers;
+    // Processor time that is left for fillers.
+    int64_t free_cpu = 0;
+  };
+  PacingView ViewForPacing(const RunnerView& view) const;
+  // Gives fillers their paces, in their order: each gets what its image may
+  // still use of the disturbance that serving tasks bear, and what is left of
+  // the processors. The last ones rest rather than slow the first.
+  void PaceInOrder(std::vector<RunRef> fillers, int64_t free_cpu);
   void OrderPace(const RunRef& run, int percent);
   // One tail for each serving image, the worst: its tasks on a VM share fate.
   void ReportPressure(const std::vector<ServingSample>& serving,
@@ -177,7 +188,7 @@
   TimePoint last_answer_{};  // Of the runner, to any call.
 
   std::map<RunRef, Order> orders_;
-  std::map<RunRef, Traits> traits_;
+  std::map<RunRef, Paced> paced_;
   Pacer pacer_;
   TimePoint pressure_sent_at_{};
   uint64_t settled_ = 0;  // Ends that may be forgotten.
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -30,9 +30,10 @@
 
 milliseconds Executor::NextWait() const {
   if (highest_listed_ > settled_) return milliseconds(0);
-  const bool paced = std::any_of(
-      traits_.begin(), traits_.end(),
-      [](const auto& entry) { return entry.second.tail_target > Duration(0); });
+  const bool paced =
+      std::any_of(paced_.begin(), paced_.end(), [](const auto& entry) {
+        return entry.second.traits.tail_target > Duration(0);
+      });
   return paced ? kPacedWait : kQuietWait;
 }
 
@@ -85,7 +86,7 @@
   last_answer_ = now;
   for (const RunEnd& end : view.ended) {
     highest_listed_ = std::max(highest_listed_, end.number);
-    traits_.erase(end.run);
+    paced_.erase(end.run);
   }
   if (inventory_wanted_ && owner_link_) SendInventory(view);
   ReportEnds(view);
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -53,9 +53,7 @@
   Order& order = orders_[run];
   order.call_open = true;
   order.since = hooks_.now();
-  if (starts.fills || starts.tail_target > Duration(0)) {
-    traits_[run] = {starts.image, starts.fills, starts.tail_target, 100};
-  }
+  if (starts.traits.paced()) paced_[run] = {starts.traits, 100};
   RunnerStart call{status_.life,     epoch_,       run,       starts.payload,
                    start.checkpoint, start.ticket, *lease_end};
   runner_.start(std::move(call),
@@ -99,7 +97,7 @@
 
 void Executor::NotBegun(const RunRef& run, NotBegunReason reason) {
   orders_.erase(run);
-  traits_.erase(run);
+  paced_.erase(run);
   hooks_.log("run_not_begun", run.task.ToString(),
              "run " + std::to_string(run.run) + ": " +
                  std::string(NotBegunReasonName(reason)));
--- a/beamhill/executor/executor_pacing.cc
+++ b/beamhill/executor/executor_pacing.cc
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <map>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -13,6 +14,9 @@
 
 // Changes of a filler's share below this are not worth a call.
 constexpr int kLeastPaceChange = 5;
+// Share of what serving tasks ask for that they use, on average over their
+// swings; from the workloads' sheets.
+constexpr int64_t kServingUsePercent = 50;
 // What a filler works at after a pace order without an answer.
 constexpr int kUnknownPercent = -1;
 // A sample covers half a second; more often would count it twice.
@@ -22,58 +26,91 @@
 
 void Executor::OnTraits(const RunTraitsList& list) {
   for (const RunTraits& run : list.runs) {
-    traits_[run.run] = {run.image, run.fills, run.tail_target, 100};
+    paced_[run.run].traits = run.traits;
   }
 }
 
-void Executor::Pace(const RunnerView& view, TimePoint now) {
-  std::vector<ServingSample> serving;
-  Pacer::FillingShares filling;
-  std::vector<RunRef> fillers;
+Executor::PacingView Executor::ViewForPacing(const RunnerView& view) const {
+  PacingView seen;
+  seen.free_cpu = status_.capacity.cpu_millis;
   const auto whole =
       static_cast<double>(std::max<int64_t>(status_.capacity.cpu_millis, 1));
   for (const RunningRun& running : view.running) {
-    const auto it = traits_.find(running.run);
-    if (it == traits_.end()) continue;
-    const Traits& traits = it->second;
+    const auto it = paced_.find(running.run);
+    if (it == paced_.end()) {
+      seen.free_cpu -= running.measure;
+      continue;
+    }
+    const TaskTraits& traits = it->second.traits;
     if (traits.fills) {
-      fillers.push_back(running.run);
-      filling[traits.image] += static_cast<double>(running.measure) / whole;
-    } else if (running.measure > 0) {
-      serving.push_back({traits.image,
-                         std::chrono::milliseconds(running.measure),
-                         traits.tail_target});
+      seen.fillers.push_back(running.run);
+      seen.filling[traits.image] +=
+          static_cast<double>(running.measure) / whole;
+      continue;
+    }
+    seen.free_cpu -= traits.cpu_millis * kServingUsePercent / 100;
+    if (running.measure > 0) {
+      seen.serving.push_back({traits.image,
+                              std::chrono::milliseconds(running.measure),
+                              traits.tail_target});
     }
   }
-  if (serving.empty() && fillers.empty()) return;
-  pacer_.Observe(serving, filling, now);
-  ReportPressure(serving, filling, now);
+  return seen;
+}
+
+void Executor::Pace(const RunnerView& view, TimePoint now) {
+  const PacingView seen = ViewForPacing(view);
+  if (seen.serving.empty() && seen.fillers.empty()) return;
+  pacer_.Observe(seen.serving, seen.filling, now);
+  ReportPressure(seen.serving, seen.filling, now);
+  PaceInOrder(seen.fillers, seen.free_cpu);
+}
+
+void Executor::PaceInOrder(std::vector<RunRef> fillers, int64_t free_cpu) {
+  const auto key = [this](const RunRef& run) {
+    return std::tie(paced_.at(run).traits.yield_order, run);
+  };
+  std::sort(fillers.begin(), fillers.end(),
+            [&](const RunRef& a, const RunRef& b) { return key(a) < key(b); });
+  std::map<std::string, int64_t> allowed_cpu;  // By image.
+  for (const RunRef& run : fillers) {
+    const TaskTraits& traits = paced_.at(run).traits;
+    allowed_cpu[traits.image] +=
+        traits.cpu_millis * pacer_.PercentOf(traits.image) / 100;
+  }
   for (const RunRef& run : fillers) {
-    const Traits& traits = traits_[run];
-    const int percent = pacer_.PercentOf(traits.image);
-    const int change = std::abs(traits.percent - percent);
-    const bool worth_it = change >= kLeastPaceChange || percent == 0;
+    const Paced& paced = paced_.at(run);
+    const int64_t cpu = std::max<int64_t>(paced.traits.cpu_millis, 1);
+    int64_t& of_image = allowed_cpu[paced.traits.image];
+    const int64_t granted =
+        std::max<int64_t>(std::min({cpu, of_image, free_cpu}), 0);
+    of_image -= granted;
+    free_cpu -= granted;
+    const auto percent = static_cast<int>(granted * 100 / cpu);
+    const int change = std::abs(paced.percent - percent);
+    const bool worth_it =
+        change >= kLeastPaceChange || percent == 0 || percent == 100;
     if (change > 0 && worth_it) OrderPace(run, percent);
   }
 }
 
 void Executor::OrderPace(const RunRef& run, int percent) {
-  traits_[run].percent = percent;
+  paced_[run].percent = percent;
   ++counts_.paces;
   runner_.pace({status_.life, epoch_, run, percent},
                lifetime_.Guard([this, run](RunnerReply reply) {
                  NoteClock(reply.clock);
                  if (reply.verdict == RunnerVerdict::kDone) return;
                  // Unknown what it works at: order it again.
-                 const auto it = traits_.find(run);
-                 if (it != traits_.end()) it->second.percent = kUnknownPercent;
+                 const auto it = paced_.find(run);
+                 if (it != paced_.end()) it->second.percent = kUnknownPercent;
                }));
 }
 
 void Executor::ReportPressure(const std::vector<ServingSample>& serving,
                               const Pacer::FillingShares& filling,
                               TimePoint now) {
-  if (serving.empty() || now - pressure_sent_at_ < kPressureInterval) return;
+  if (now - pressure_sent_at_ < kPressureInterval) return;
   pressure_sent_at_ = now;
   std::map<std::string, Duration> tails;
   for (const ServingSample& sample : serving) {
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -71,14 +71,16 @@
   }
 
   void Start(const RunRef& run, uint64_t epoch, Duration tail_target = {},
-             bool fills = false) {
+             bool fills = false, double yield_order = 0) {
     StartRuns starts;
     starts.epoch = epoch;
     starts.life = executor_->status().life;
     starts.workflow = run.task.workflow;
-    starts.image = "img";
-    starts.fills = fills;
-    starts.tail_target = tail_target;
+    starts.traits.image = "img";
+    starts.traits.fills = fills;
+    starts.traits.tail_target = tail_target;
+    starts.traits.cpu_millis = 2000;
+    starts.traits.yield_order = yield_order;
     starts.runs = {{run.task.index, run.run, "", ""}};
     executor_->OnMessage(kLink, starts);
   }
@@ -331,6 +333,44 @@
   EXPECT_EQ(Sent<VmInventory>()[0].status.life, "");
 }
 
+// What an image may still use goes to the first in the order: two that share
+// it would both be late.
+TEST_F(ExecutorTest, FirstFillerInTheOrderKeepsItsPaceLongest) {
+  Register("life-1");
+  Attach(1);
+  const RunRef serving{{"w", 0, 0, 1}, 1};
+  const RunRef later{{"later", 0, 0, 0}, 1};
+  const RunRef first{{"first", 0, 0, 0}, 1};
+  Start(later, 1, {}, /*fills=*/true, /*yield_order=*/9);
+  Start(first, 1, {}, /*fills=*/true, /*yield_order=*/1);
+  Start(serving, 1, milliseconds(20));
+  for (auto& [call, done] : starts_) done({RunnerVerdict::kDone, std::nullopt});
+  Pass(milliseconds(300));
+  // Near its target: the image is to use two thirds of what it asks for.
+  AnswerLook({{later, 100, 2000}, {first, 100, 2000}, {serving, 100, 19}});
+  ASSERT_THAT(paces_, SizeIs(1));
+  EXPECT_EQ(paces_[0].first.run, later);
+  EXPECT_LT(paces_[0].first.percent, 50);
+}
+
+TEST_F(ExecutorTest, ProcessorTimeThatIsShortGoesToTheFirstFillers) {
+  Register("life-1");
+  Attach(1);
+  // Five fillers of two cores each on eight cores, and nothing that serves.
+  std::vector<RunningRun> running;
+  for (uint32_t i = 0; i < 5; ++i) {
+    const RunRef run{{"w", 0, 0, i}, 1};
+    Start(run, 1, {}, /*fills=*/true, /*yield_order=*/10 - i);
+    running.push_back({run, 100, 1600});
+  }
+  for (auto& [call, done] : starts_) done({RunnerVerdict::kDone, std::nullopt});
+  Pass(milliseconds(300));
+  AnswerLook(running);
+  ASSERT_THAT(paces_, SizeIs(1));
+  EXPECT_EQ(paces_[0].first.run.task.index, 0);
+  EXPECT_EQ(paces_[0].first.percent, 0);
+}
+
 TEST_F(ExecutorTest, FillerIsPacedWhenItsNeighbourSuffers) {
   Register("life-1");
   Attach(1);
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -185,8 +185,9 @@
   if (probing_ || hooks_.store_silence() < kProbeAfter) return;
   probing_ = true;
   table_.read({OwnershipKeeperOptions().row_key},
-              lifetime_.Guard(
-                  [this](const Result<std::vector<Row>>&) { probing_ = false; }));
+              lifetime_.Guard([this](const Result<std::vector<Row>>&) {
+                probing_ = false;
+              }));
 }
 
 void Scheduler::Tick() {
