Take a ticket's life from the queue; keep gangs in one rack

Cause: the adaptor looked for the time that an advisor's tickets hold in the advisor's answers; it stands with the queue. Every ticket counted as spent when it came, so that a restricted queue would never have started anything. The stand-in of advice_client_test had answered what the adaptor expected.

Gangs that are slower when spread are placed in one rack if any has the room (GangThatIsSlowWhenSpreadGoesIntoOneRack failed first).

--- a/beamhill/dispatch/dispatch_advice.cc
+++ b/beamhill/dispatch/dispatch_advice.cc
@@ -64,8 +64,9 @@
              (advice ? std::to_string(advice->tickets.size()) + " runners"
                      : "none came"));
   if (!advice) return;
+  const Duration life_of_ticket = job->progress.workflow().policy.ticket_life;
   for (const auto& [life, text] : advice->tickets) {
-    known.tickets[life] = {text, now + advice->valid};
+    known.tickets[life] = {text, now + life_of_ticket};
   }
 }
 
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -157,24 +157,46 @@
     run = std::max(run, NextRun(task));
     if (checkpoint.empty()) checkpoint = task.checkpoint;
   }
-  // Reserve the room of all members; give it back if one finds none.
-  std::vector<std::pair<std::string, RunRef>> reserved;
-  for (uint32_t i = 0; i < tasks.size(); ++i) {
+  const auto reserved = step.same_rack
+                            ? ReserveGangTogether(job, open, run, now)
+                            : ReserveGang(job, open, run, std::nullopt, now);
+  for (const auto& [name, ref] : reserved) {
+    Release(vms_[name], ref);
+    tasks[ref.task.index].checkpoint = checkpoint;
+    StartOn(name, vms_[name], job, ref.task, run, now);
+  }
+}
+
+std::vector<Dispatcher::Reservation> Dispatcher::ReserveGang(
+    const Job& job, const WorkflowProgress::OpenStep& open, uint64_t run,
+    const std::optional<std::string>& rack, TimePoint now) {
+  const Workflow& workflow = job.progress.workflow();
+  const WorkflowStep& step = workflow.steps[open.step];
+  std::vector<Reservation> reserved;
+  for (uint32_t i = 0; i < step.tasks; ++i) {
     std::string name;
-    Vm* vm = Choose(job, step, open, "", now, &name);
+    Vm* vm = Choose(job, step, open, "", now, &name, rack);
     if (vm == nullptr) {
       for (const auto& [holder, ref] : reserved) Release(vms_[holder], ref);
-      return;
+      return {};
     }
     const RunRef ref{{workflow.id, open.round, open.step, i}, run};
     Hold(*vm, ref, job, step);
     reserved.emplace_back(name, ref);
   }
-  for (const auto& [name, ref] : reserved) {
-    Release(vms_[name], ref);
-    tasks[ref.task.index].checkpoint = checkpoint;
-    StartOn(name, vms_[name], job, ref.task, run, now);
+  return reserved;
+}
+
+std::vector<Dispatcher::Reservation> Dispatcher::ReserveGangTogether(
+    const Job& job, const WorkflowProgress::OpenStep& open, uint64_t run,
+    TimePoint now) {
+  std::set<std::string> racks;
+  for (const auto& [name, vm] : vms_) racks.insert(vm.status.rack);
+  for (const std::string& rack : racks) {
+    auto reserved = ReserveGang(job, open, run, rack, now);
+    if (!reserved.empty()) return reserved;
   }
+  return ReserveGang(job, open, run, std::nullopt, now);
 }
 
 bool Dispatcher::Fits(const Vm& vm, const std::string& name, const Job& job,
@@ -251,15 +273,17 @@
 Dispatcher::Vm* Dispatcher::Choose(const Job& job, const WorkflowStep& step,
                                    const WorkflowProgress::OpenStep& open,
                                    const std::string& avoid, TimePoint now,
-                                   std::string* name) {
+                                   std::string* name,
+                                   const std::optional<std::string>& rack) {
   const Workflow& workflow = job.progress.workflow();
   const bool advised = workflow.policy.needs_advice;
-  const bool simple =
-      step.max_per_vm == 0 && step.required_label.empty() && !advised;
+  const bool simple = step.max_per_vm == 0 && step.required_label.empty() &&
+                      !advised && !rack;
   if (simple && HadNoRoom(workflow.service, step)) return nullptr;
   Vm* best = nullptr;
   double best_cost = 0;
   for (auto& [vm_name, vm] : vms_) {
+    if (rack && vm.status.rack != *rack) continue;
     if (!Fits(vm, vm_name, job, step, now)) continue;
     if (advised && TicketFor(job, open, vm.status.life, now) == nullptr) {
       continue;
--- a/beamhill/dispatch/dispatch_placement_test.cc
+++ b/beamhill/dispatch/dispatch_placement_test.cc
@@ -51,6 +51,27 @@
   for (const auto& [vm, run] : starts) EXPECT_EQ(run.run, starts[0].second.run);
 }
 
+TEST_F(DispatcherTest, GangThatIsSlowWhenSpreadGoesIntoOneRack) {
+  Take({});
+  for (const char* vm : {"vm-1", "vm-2", "vm-3", "vm-4"}) {
+    racks_[vm] = vm < std::string("vm-3") ? "r1" : "r2";
+    Link(vm);
+  }
+  // Leaves one VM free in the first rack and two in the second.
+  Workflow other = OneStep("other", 1, 2);
+  other.steps[0].each = {8000, 1000, 0};
+  dispatcher_->AddWorkflow(other, std::nullopt, now_);
+  ASSERT_EQ(Tick().starts.at(0).first, "vm-1");
+  Workflow gang = OneStep("g", 2, 2);
+  gang.steps[0].each = {8000, 1000, 0};
+  gang.steps[0].gang = true;
+  gang.steps[0].same_rack = true;
+  dispatcher_->AddWorkflow(gang, std::nullopt, now_);
+  std::vector<std::string> vms;
+  for (const auto& [vm, run] : Tick().starts) vms.push_back(vm);
+  EXPECT_THAT(vms, testing::UnorderedElementsAre("vm-3", "vm-4"));
+}
+
 TEST_F(DispatcherTest, FillersNeedMemoryButNoRoomForTheirProcessors) {
   Take({});
   Link("vm-1");
@@ -76,8 +97,11 @@
   void AddRestricted() {
     Workflow workflow = OneStep("a", 2, 2);
     workflow.policy.needs_advice = true;
+    workflow.policy.ticket_life = ticket_life_;
     dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
   }
+
+  Duration ticket_life_ = seconds(3);
 };
 
 TEST_F(DispatcherAdviceTest, StartsOnlyWhereAdvisedWithTheTicket) {
@@ -90,7 +114,7 @@
   ASSERT_THAT(requests, SizeIs(1));
   EXPECT_THAT(requests[0].lives, ElementsAre("vm-1-life-1", "vm-2-life-1"));
   dispatcher_->OnAdvice(requests[0].step,
-                        Advice{{{"vm-2-life-1", "t"}}, seconds(3)}, now_);
+                        Advice{{{"vm-2-life-1", "t"}}}, now_);
   dispatcher_->Tick(now_, kUnix);
   int starts = 0;
   for (const VmMessage& out : dispatcher_->TakeMessages()) {
@@ -106,6 +130,7 @@
 }
 
 TEST_F(DispatcherAdviceTest, AsksAgainAfterAPauseAndWhenTicketsEnd) {
+  ticket_life_ = milliseconds(100);
   Take({});
   Link("vm-1");
   AddRestricted();
@@ -118,8 +143,7 @@
   EXPECT_THAT(dispatcher_->TakeAdviceRequests(), IsEmpty());
   Pass(milliseconds(500), {"vm-1"});
   EXPECT_THAT(dispatcher_->TakeAdviceRequests(), SizeIs(1));
-  dispatcher_->OnAdvice(step, Advice{{{"vm-1-life-1", "t"}}, milliseconds(100)},
-                        now_);
+  dispatcher_->OnAdvice(step, Advice{{{"vm-1-life-1", "t"}}}, now_);
   EXPECT_THAT(Tick().starts, IsEmpty());
   EXPECT_THAT(dispatcher_->TakeAdviceRequests(), SizeIs(1));
 }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -93,7 +93,6 @@
 // What it answered: the runners that may, each with a ticket for its starts.
 struct Advice {
   std::map<std::string, std::string> tickets;  // By life.
-  Duration valid{};
 };
 
 struct DispatchCounts {
@@ -385,6 +384,18 @@
                  TimePoint now);
   void StartGang(Job& job, const WorkflowProgress::OpenStep& open,
                  TimePoint now);
+  using Reservation = std::pair<std::string, RunRef>;  // By VM.
+  // Holds the room of all members of a gang; holds and returns nothing when
+  // one finds none. With a rack, only VMs in it are used.
+  std::vector<Reservation> ReserveGang(const Job& job,
+                                       const WorkflowProgress::OpenStep& open,
+                                       uint64_t run,
+                                       const std::optional<std::string>& rack,
+                                       TimePoint now);
+  // A gang that is slower when spread goes into one rack if any has the room.
+  std::vector<Reservation> ReserveGangTogether(
+      const Job& job, const WorkflowProgress::OpenStep& open, uint64_t run,
+      TimePoint now);
   // Whether a step that asks for no more had no room, in this tick.
   bool HadNoRoom(const std::string& service, const WorkflowStep& step) const;
   // How many runs of the step the VM holds.
@@ -393,7 +404,8 @@
   // The cheapest place, or null when there is none.
   Vm* Choose(const Job& job, const WorkflowStep& step,
              const WorkflowProgress::OpenStep& open, const std::string& avoid,
-             TimePoint now, std::string* name);
+             TimePoint now, std::string* name,
+             const std::optional<std::string>& rack = std::nullopt);
   bool Fits(const Vm& vm, const std::string& name, const Job& job,
             const WorkflowStep& step, TimePoint now) const;
   double Cost(const Vm& vm, const WorkflowStep& step) const;
--- a/beamhill/workflow/workflow.h
+++ b/beamhill/workflow/workflow.h
@@ -59,11 +59,13 @@
   double stretch = 1;         // Allowed time over the longest chain of work.
   Duration target_latency{};  // Added to it.
   bool needs_advice = false;  // An outside policy restricts the VMs.
+  // How long a ticket of its advisor holds.
+  Duration ticket_life{};
 
   template <typename S>
   static auto Fields(S& s) {
     return std::tie(s.priority, s.max_attempts, s.stretch, s.target_latency,
-                    s.needs_advice);
+                    s.needs_advice, s.ticket_life);
   }
 };
 
