--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -4,6 +4,28 @@
 #include <utility>
 
 namespace beamhill {
+namespace {
+
+// What a workflow asks for, in short, for the log.
+std::string ShapeOf(const Workflow& workflow) {
+  std::string shape = workflow.repetitions > 0
+                          ? std::to_string(workflow.repetitions) + " rounds of"
+                          : "";
+  for (const WorkflowStep& step : workflow.steps) {
+    if (!shape.empty()) shape += " ";
+    shape += std::to_string(step.tasks) + "x" +
+             std::to_string(step.each.cpu_millis) + "m";
+    if (step.gang) shape += step.same_rack ? "+rackgang" : "+gang";
+    if (step.fills) shape += "+fills";
+    if (step.long_running) shape += "+lasting";
+    if (!step.required_label.empty()) shape += "+" + step.required_label;
+    if (step.max_per_vm > 0) shape += "+apart" + std::to_string(step.max_per_vm);
+  }
+  return shape;
+}
+
+}  // namespace
+
 std::unique_ptr<Dispatcher> Dispatcher::Create(const DispatcherOptions& options,
                                                DecisionHook on_decision,
                                                TimePoint now) {
@@ -70,7 +92,8 @@
   // Before it is late; brought up to date from then on.
   added.yield_order = added.progress.RemainingWork(0);
   Decide(workflow.id, "workflow_added",
-         added.inherited ? "inherited" : "new here");
+         std::string(added.inherited ? "inherited" : "new here") + ", " +
+             ShapeOf(workflow));
 }
 
 void Dispatcher::Cancel(const std::string& workflow, TimePoint now) {
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -63,9 +63,12 @@
   const bool new_life = status.life != status_.life;
   const bool changed = !SameStatus(status, status_);
   if (new_life) {
+    std::string labels;
+    for (const std::string& label : status.labels) labels += " " + label;
     hooks_.log("runner_registered", "",
                status.life + " after " +
-                   (status_.life.empty() ? "none" : status_.life));
+                   (status_.life.empty() ? "none" : status_.life) +
+                   ", labels" + labels);
     ResetLife();
     leaving_since_.reset();
     inventory_wanted_ = true;
