Let executors stand in when no scheduler is left

Change: an executor that has had no lease for 3 s joins the schedulers as the weakest of them (library standby/) and leaves once another owner gives leases. It uses the scheduler's own parts; nothing is new in how ownership works.

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -24,7 +24,8 @@
     : options_(options),
       runner_(std::move(runner)),
       hooks_(std::move(hooks)),
-      started_at_(hooks_.now()) {}
+      started_at_(hooks_.now()),
+      renewed_at_(started_at_) {}
 
 void Executor::SendToOwner(const DispatchMessage& message) {
   if (owner_link_) hooks_.send(*owner_link_, message);
@@ -67,8 +68,8 @@
     for (const std::string& label : status.labels) labels += " " + label;
     hooks_.log("runner_registered", "",
                status.life + " after " +
-                   (status_.life.empty() ? "none" : status_.life) +
-                   ", labels" + labels);
+                   (status_.life.empty() ? "none" : status_.life) + ", labels" +
+                   labels);
     ResetLife();
     leaving_since_.reset();
     inventory_wanted_ = true;
@@ -141,6 +142,7 @@
 }
 
 void Executor::OnRenew(const RenewLease& renew) {
+  renewed_at_ = hooks_.now();
   lease_end_ = std::max(lease_end_, renew.echoed_stamp + renew.term);
 }
 
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -76,6 +76,8 @@
 
   uint64_t epoch() const { return epoch_; }
   bool owned() const { return owner_link_.has_value(); }
+  // How long ago an owner last gave a lease, or this process began.
+  Duration SinceLease() const { return hooks_.now() - renewed_at_; }
   const ExecutorCounts& counts() const { return counts_; }
   const VmStatus& status() const { return status_; }
   std::string Dump() const;
@@ -177,6 +179,7 @@
   bool inventory_wanted_ = false;
   bool told_empty_ = false;  // In this attachment, for want of an answer.
   TimePoint started_at_{};
+  TimePoint renewed_at_{};
   TimePoint lease_end_{};
   TimePoint last_heartbeat_{};
 
--- /dev/null
+++ b/beamhill/standby/standby_owner.cc
@@ -0,0 +1,96 @@
+#include "beamhill/standby/standby_owner.h"
+
+#include <utility>
+
+#include "beamhill/log/log.h"
+
+namespace beamhill {
+namespace {
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(250);
+// Below every scheduler: it claims last and hands over to any of them.
+constexpr double kStrength = 0.05;
+
+}  // namespace
+
+std::unique_ptr<StandbyOwner> StandbyOwner::Create(
+    EventLoop& loop, const StandbySettings& settings, Table table,
+    StandbyHooks hooks, Metrics& metrics) {
+  return std::unique_ptr<StandbyOwner>(new StandbyOwner(
+      loop, settings, std::move(table), std::move(hooks), metrics));
+}
+
+StandbyOwner::StandbyOwner(EventLoop& loop, const StandbySettings& settings,
+                           Table table, StandbyHooks hooks, Metrics& metrics)
+    : loop_(loop),
+      settings_(settings),
+      table_(std::move(table)),
+      hooks_(std::move(hooks)) {
+  metrics.AddGauge("beamhill_standing_in",
+                   "1 while this process stands in for schedulers.",
+                   [this] { return stands_in() ? 1.0 : 0.0; });
+  tick_ = loop_.Every(kTickInterval, [this] { Tick(); });
+}
+
+StandbyOwner::~StandbyOwner() = default;
+
+void StandbyOwner::Tick() {
+  if (scheduler_) {
+    LeaveIfNotNeeded(hooks_.now());
+  } else if (hooks_.since_lease() >= settings_.patience) {
+    Join();
+  }
+}
+
+SchedulerHooks StandbyOwner::HooksOfScheduler() {
+  SchedulerHooks hooks;
+  hooks.store_silence = hooks_.store_silence;
+  hooks.settings_version = [this] { return settings_version_; };
+  hooks.settings_document = [this] { return settings_document_; };
+  hooks.on_settings_copy = [this](uint64_t version,
+                                  const std::string& document) {
+    if (version <= settings_version_) return;
+    settings_version_ = version;
+    settings_document_ = document;
+  };
+  hooks.advisor = hooks_.advisor;
+  return hooks;
+}
+
+void StandbyOwner::Join() {
+  SchedulerSettings settings;
+  settings.name = settings_.name;
+  settings.peers = settings_.peers;
+  settings.strength = kStrength;
+  scheduler_metrics_ = std::make_unique<Metrics>();
+  auto scheduler = Scheduler::Start(loop_, settings, table_, HooksOfScheduler(),
+                                    *scheduler_metrics_);
+  if (!IsOk(scheduler)) {
+    Log(LogLevel::kError, "cannot_stand_in",
+        {{"error", ErrorOf(scheduler).message}});
+    return;
+  }
+  Log(LogLevel::kWarning, "standing_in",
+      {{"since_lease_ms", ToMillis(hooks_.since_lease())}});
+  not_needed_since_.reset();
+  scheduler_ = std::move(ValueOf(scheduler));
+}
+
+void StandbyOwner::LeaveIfNotNeeded(TimePoint now) {
+  const bool needed =
+      scheduler_->owns() || hooks_.since_lease() >= settings_.patience;
+  if (needed) {
+    not_needed_since_.reset();
+    return;
+  }
+  if (!not_needed_since_) not_needed_since_ = now;
+  if (now - *not_needed_since_ < settings_.farewell) return;
+  Log(LogLevel::kInfo, "no_longer_standing_in", {});
+  scheduler_.reset();
+}
+
+std::string StandbyOwner::Dump() const {
+  return scheduler_ ? scheduler_->Dump() : "";
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/standby/standby_owner.h
@@ -0,0 +1,76 @@
+// Owns the deployment's work when no scheduler is left to do so.
+//
+// Every entry VM may go for good while work still runs. A process beside a
+// runner that has had no lease from any owner for a while joins the schedulers
+// as the weakest of them, and leaves once another one owns the work.
+//
+//   auto standby = StandbyOwner::Create(loop, settings, table, hooks, metrics);
+#ifndef BEAMHILL_STANDBY_STANDBY_OWNER_H_
+#define BEAMHILL_STANDBY_STANDBY_OWNER_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "beamhill/event/event_loop.h"
+#include "beamhill/metrics/metrics.h"
+#include "beamhill/scheduler/scheduler.h"
+#include "beamhill/table/table.h"
+
+namespace beamhill {
+
+struct StandbySettings {
+  std::string name;
+  Address peers;  // Where schedulers dial this process.
+  // Without a lease for so long it stands in; schedulers take over sooner.
+  Duration patience = std::chrono::seconds(3);
+  // It leaves when another owner has given leases for so long.
+  Duration farewell = std::chrono::seconds(3);
+};
+
+struct StandbyHooks {
+  std::function<TimePoint()> now;
+  // How long ago any owner last gave this VM a lease.
+  std::function<Duration()> since_lease;
+  std::function<Duration()> store_silence;
+  AdvisorHook advisor;
+};
+
+class StandbyOwner {
+ public:
+  static std::unique_ptr<StandbyOwner> Create(EventLoop& loop,
+                                              const StandbySettings& settings,
+                                              Table table, StandbyHooks hooks,
+                                              Metrics& metrics);
+  ~StandbyOwner();
+
+  bool stands_in() const { return scheduler_ != nullptr; }
+  bool owns() const { return scheduler_ && scheduler_->owns(); }
+  std::string Dump() const;
+
+ private:
+  StandbyOwner(EventLoop& loop, const StandbySettings& settings, Table table,
+               StandbyHooks hooks, Metrics& metrics);
+  void Tick();
+  void Join();
+  void LeaveIfNotNeeded(TimePoint now);
+  SchedulerHooks HooksOfScheduler();
+
+  EventLoop& loop_;
+  StandbySettings settings_;
+  Table table_;
+  StandbyHooks hooks_;
+  // Service settings that peers have passed on; it passes them on as well.
+  uint64_t settings_version_ = 0;
+  std::string settings_document_;
+  // Of the scheduler, whose figures go with it.
+  std::unique_ptr<Metrics> scheduler_metrics_;
+  std::unique_ptr<Scheduler> scheduler_;
+  std::optional<TimePoint> not_needed_since_;
+  Timer tick_;
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_STANDBY_STANDBY_OWNER_H_
