--- a/beamhill/http/http_server.cc
+++ b/beamhill/http/http_server.cc
@@ -206,13 +206,20 @@
             HttpExchange(HttpExchange::State::FromRaw(raw)));
       },
       owned.get());
-  return std::unique_ptr<HttpServer>(new HttpServer(
-      http, static_cast<uint16_t>(std::stoi(port_text)), std::move(owned)));
+  return std::unique_ptr<HttpServer>(
+      new HttpServer(http, socket, static_cast<uint16_t>(std::stoi(port_text)),
+                     std::move(owned)));
 }
 
-HttpServer::HttpServer(evhttp* http, uint16_t port,
+HttpServer::HttpServer(evhttp* http, evhttp_bound_socket* socket, uint16_t port,
                        std::unique_ptr<Handler> handler)
-    : http_(http), port_(port), handler_(std::move(handler)) {}
+    : http_(http), socket_(socket), port_(port), handler_(std::move(handler)) {}
+
+void HttpServer::StopAccepting() {
+  if (socket_ == nullptr) return;
+  evhttp_del_accept_socket(http_, socket_);
+  socket_ = nullptr;
+}
 
 HttpServer::~HttpServer() { evhttp_free(http_); }
 
--- a/beamhill/http/http_server.h
+++ b/beamhill/http/http_server.h
@@ -20,6 +20,7 @@
 #include "beamhill/http/http_types.h"
 
 struct evhttp;
+struct evhttp_bound_socket;
 
 namespace beamhill {
 
@@ -74,10 +75,15 @@
 
   uint16_t port() const { return port_; }
 
+  // Refuses new connections from now on; open ones are served.
+  void StopAccepting();
+
  private:
-  HttpServer(evhttp* http, uint16_t port, std::unique_ptr<Handler> handler);
+  HttpServer(evhttp* http, evhttp_bound_socket* socket, uint16_t port,
+             std::unique_ptr<Handler> handler);
 
   evhttp* http_;
+  evhttp_bound_socket* socket_;  // Null once it stopped accepting.
   uint16_t port_;
   std::unique_ptr<Handler> handler_;
 };
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -80,7 +80,9 @@
   hooks.random = [this] {
     return std::uniform_real_distribution<double>(0, 1)(random_);
   };
-  hooks.claim_delay = [this] { return ClaimDelay(settings_.strength); };
+  hooks.claim_delay = [this] {
+    return settings_.claim_delay.value_or(ClaimDelay(settings_.strength));
+  };
   hooks.on_follow = [this](const OwnerRecord& owner) { Follow(owner); };
   hooks.on_taken = [this](uint64_t epoch, bool released, bool first) {
     OnTaken(epoch, released, first);
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -43,6 +43,8 @@
   Duration authority_term = std::chrono::seconds(8);
   // Of this VM, see HostStrength.
   double strength = 1;
+  // How long it leaves a free row to others; by its strength when not given.
+  std::optional<Duration> claim_delay;
 };
 
 struct SchedulerHooks {
--- a/beamhill/scheduler/stop_sequence.cc
+++ b/beamhill/scheduler/stop_sequence.cc
@@ -2,12 +2,16 @@
 
 namespace beamhill {
 
+bool StopSequence::MayRefuse(TimePoint now) const {
+  return now - began_ >= options_.linger;
+}
+
 bool StopSequence::MayExit(TimePoint now, size_t open_requests,
                            bool released) const {
   const Duration waited = now - began_;
   if (waited >= options_.grace - options_.exit_margin) return true;
   const bool quiet = now - active_at_ >= options_.quiet;
-  return released && open_requests == 0 && quiet && waited >= options_.linger;
+  return released && open_requests == 0 && quiet && MayRefuse(now);
 }
 
 }  // namespace beamhill
--- a/beamhill/scheduler/stop_sequence.h
+++ b/beamhill/scheduler/stop_sequence.h
@@ -36,6 +36,9 @@
   // A request was taken or answered.
   void OnActivity(TimePoint now) { active_at_ = now; }
 
+  // Whether the balancer has had time to send callers elsewhere, so that new
+  // connections need not be taken any more.
+  bool MayRefuse(TimePoint now) const;
   // `released`: what the process owned is given up.
   bool MayExit(TimePoint now, size_t open_requests, bool released) const;
 
--- a/beamhill/standby/standby_owner.cc
+++ b/beamhill/standby/standby_owner.cc
@@ -10,6 +10,9 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
 // Below every scheduler: it claims last and hands over to any of them.
 constexpr double kStrength = 0.05;
+// Schedulers that live claim within a second once the table answers; after an
+// outage all processes see a free row at the same moment.
+constexpr Duration kClaimDelay = std::chrono::milliseconds(2500);
 
 }  // namespace
 
@@ -62,6 +65,7 @@
   settings.name = settings_.name;
   settings.peers = settings_.peers;
   settings.strength = kStrength;
+  settings.claim_delay = kClaimDelay;
   scheduler_metrics_ = std::make_unique<Metrics>();
   auto scheduler = Scheduler::Start(loop_, settings, table_, HooksOfScheduler(),
                                     *scheduler_metrics_);
