--- a/beamhill/standby/standby_owner.h
+++ b/beamhill/standby/standby_owner.h
@@ -24,7 +24,7 @@
   std::string name;
   Address peers;  // Where schedulers dial this process.
   // Without a lease for so long it stands in; schedulers take over sooner.
-  Duration patience = std::chrono::seconds(3);
+  Duration patience = std::chrono::milliseconds(3500);
   // It leaves when another owner has given leases for so long.
   Duration farewell = std::chrono::seconds(3);
 };
