--- a/beamhill/dispatch/dispatcher_benchmark.cc
+++ b/beamhill/dispatch/dispatcher_benchmark.cc
@@ -2,6 +2,7 @@
 // backlog of fillers that find no place, and one report of pressure.
 #include <benchmark/benchmark.h>
 
+#include <map>
 #include <string>
 
 #include "beamhill/dispatch/dispatcher.h"
@@ -116,5 +117,39 @@
 }
 BENCHMARK(BM_Pressure)->Arg(76);
 
+// Small jobs from their arrival to their stored end; reported by the start.
+void BM_StartToEnd(benchmark::State& state) {
+  constexpr uint32_t kTasks = 20;
+  const auto owner = OwnerOf(state.range(0));
+  int64_t number = 0;
+  std::map<std::string, uint64_t> ends;
+  for (auto _ : state) {
+    Workflow workflow;
+    workflow.id = NameOf("small-", number++);
+    workflow.service = "web";
+    workflow.offered_to = 1;
+    workflow.steps.resize(1);
+    workflow.steps[0].tasks = kTasks;
+    workflow.steps[0].each = {100, 100, 0};
+    workflow.steps[0].declared_run = std::chrono::seconds(1);
+    owner->AddWorkflow(workflow, std::nullopt, kStart);
+    owner->Tick(kStart, kUnix);
+    for (const VmMessage& out : owner->TakeMessages()) {
+      const auto* starts = std::get_if<StartRuns>(&out.message);
+      if (starts == nullptr) continue;
+      RunReports reports{1, starts->life, {}, {}};
+      for (const StartRun& run : starts->runs) {
+        const TaskRef task{starts->workflow, 0, 0, run.index};
+        reports.ended.push_back(
+            {++ends[out.vm], {task, run.run}, RunEndKind::kDone, ""});
+      }
+      owner->OnReports(out.vm, reports, kStart);
+    }
+    if (owner->TakeCommit(kStart)) owner->OnCommitted();
+  }
+  state.SetItemsProcessed(state.iterations() * kTasks);
+}
+BENCHMARK(BM_StartToEnd)->Arg(11)->Arg(76)->Arg(300)->Iterations(2000);
+
 }  // namespace
 }  // namespace beamhill
