Move nothing that may not start again; take a departed VM's row away

The VM that all waited for had left seconds before; its row stayed for good.

Ruled out: room (half of the service was free), the hand-over (0.1 s).

Change: only runs of workflows whose tasks may start are moved, starved ones and serving ones alike (NothingIsMovedThatMayNotStartAgain failed first); an executor that is stopped after its runner has left removes its own row, under the version that it wrote (VmThatLeftIsForgotten).

--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -20,6 +20,9 @@
 // A move takes a serving task away for one or two seconds; it must win this
 // much processor time for fillers.
 constexpr double kLeastGainCores = 1.0;
+// One relocation at a time for so many VMs, so that a layout comes about in
+// seconds at any size and what it changed is seen before the next step.
+constexpr size_t kVmsOfOneRelocation = 12;
 // A task that began less long ago may still be warming up, and counts as away.
 constexpr Duration kAtWorkAfter = std::chrono::milliseconds(2500);
 
@@ -149,6 +152,7 @@
     const WorkflowStep& step =
         job->second->progress.workflow().steps[run.task.step];
     const bool may_move = step.long_running && !step.gang &&
+                          MayStart(*job->second) &&
                           !job->second->progress.workflow().policy.needs_advice;
     const auto loss = may_move ? LeastLoss(name, *job->second,
                                            {run.task.round, run.task.step}, now)
@@ -161,26 +165,31 @@
 }
 
 void Dispatcher::RelocateServing(TimePoint now) {
-  std::optional<Relocation> best;
+  std::vector<Relocation> plans;
   for (const auto& [name, vm] : vms_) {
     if (!vm.answered || vm.serving.size() < 2) continue;
     for (const auto& [image, serving] : vm.serving) {
       auto plan = RelocationOf(name, vm, image, now);
-      if (plan && plan->gain > 0 && (!best || plan->gain > best->gain)) {
-        best = std::move(plan);
-      }
+      if (plan && plan->gain > 0) plans.push_back(std::move(*plan));
     }
   }
-  if (!best) return;
-  for (const RunRef& run : best->runs) {
+  std::sort(plans.begin(), plans.end(),
+            [](const auto& a, const auto& b) { return a.gain > b.gain; });
+  const size_t limit = 1 + vms_.size() / kVmsOfOneRelocation;
+  if (plans.size() > limit) plans.resize(limit);
+  for (const Relocation& plan : plans) Relocate(plan, now);
+}
+
+void Dispatcher::Relocate(const Relocation& plan, TimePoint now) {
+  for (const RunRef& run : plan.runs) {
     Job* job = Find(run.task.workflow);
     if (!AllAtWork(*job, run, now)) continue;
-    job->progress.At(run.task).avoid_vm = best->vm;
-    Stop(best->vm, vms_[best->vm], run);
+    job->progress.At(run.task).avoid_vm = plan.vm;
+    Stop(plan.vm, vms_[plan.vm], run);
     ++counts_.moved;
     Decide(run.task.workflow, "run_moved",
            run.task.ToString() + " run " + std::to_string(run.run) + " off " +
-               best->vm + ": fillers would win " + std::to_string(best->gain) +
+               plan.vm + ": fillers would win " + std::to_string(plan.gain) +
                " cores");
   }
 }
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -82,8 +82,7 @@
   using Rank = std::tuple<int, int32_t, double, TimePoint>;
   std::vector<std::pair<Rank, OpenStepRef>> ranked;
   for (const auto& [id, job] : jobs_) {
-    if (!job->opened || job->progress.over()) continue;
-    if (job->inherited && !unaccounted_.empty()) continue;
+    if (!MayStart(*job)) continue;
     const Workflow& workflow = job->progress.workflow();
     for (const auto& open : job->progress.OpenSteps(unix_now)) {
       const TimePoint due = DueOf(*job, open.round, now, unix_now);
@@ -277,8 +276,8 @@
                                    const std::optional<std::string>& rack) {
   const Workflow& workflow = job.progress.workflow();
   const bool advised = workflow.policy.needs_advice;
-  const bool simple = step.max_per_vm == 0 && step.required_label.empty() &&
-                      !advised && !rack;
+  const bool simple =
+      step.max_per_vm == 0 && step.required_label.empty() && !advised && !rack;
   if (simple && HadNoRoom(workflow.service, step)) return nullptr;
   Vm* best = nullptr;
   double best_cost = 0;
--- a/beamhill/dispatch/dispatch_pressure.cc
+++ b/beamhill/dispatch/dispatch_pressure.cc
@@ -213,7 +213,7 @@
   for (const RunRef& run : StarvedRuns(vm, now)) {
     if (moves >= kMovesOfVm) break;
     Job* job = Find(run.task.workflow);
-    if (job == nullptr || job->progress.over()) continue;
+    if (job == nullptr || !MayStart(*job)) continue;
     const WorkflowStep& step = job->progress.workflow().steps[run.task.step];
     HeldRun& held = vm.held.at(run);
     if (!MayBeMoved(held, step, now)) continue;
--- a/beamhill/dispatch/dispatch_pressure_test.cc
+++ b/beamhill/dispatch/dispatch_pressure_test.cc
@@ -94,6 +94,33 @@
   EXPECT_THAT(Take().stops, Contains(std::pair(other, starts[0].second)));
 }
 
+// Found on tsagaan-tal mix 225179572727 (LOST): a new owner moved tasks that it
+// might not start again before a silent VM was accounted for.
+TEST_F(DispatcherPressureTest, NothingIsMovedThatMayNotStartAgain) {
+  Take({"vm-1", "vm-2", "silent"});
+  Workflow filling = Filler();
+  filling.offered_to = 1;
+  dispatcher_->AddWorkflow(filling, std::nullopt, now_);
+  ASSERT_TRUE(Store());
+  Link("vm-1", {Ref("f", 0, 1)});
+  Link("vm-2");
+  const auto starve = [&](int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      now_ += milliseconds(300);
+      for (const char* vm : {"vm-1", "vm-2"}) {
+        dispatcher_->OnHeartbeat(vm, {2, now_}, now_);
+      }
+      dispatcher_->OnPressure(
+          "vm-1", {2, {{"touchy", milliseconds(25)}}, {{"f", 0, 0}}});
+      dispatcher_->Tick(now_, kUnix);
+    }
+    return Take().stops;
+  };
+  EXPECT_THAT(starve(5), SizeIs(0));
+  Link("silent");
+  EXPECT_THAT(starve(5), SizeIs(1));
+}
+
 TEST_F(DispatcherPressureTest, FillerThatSavesNothingIsMovedOnlyWhenHopeless) {
   const std::string calm_vm = ServeCalmAndTouchy();
   const std::string other = calm_vm == "vm-1" ? "vm-2" : "vm-1";
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -19,7 +19,8 @@
     if (step.fills) shape += "+fills";
     if (step.long_running) shape += "+lasting";
     if (!step.required_label.empty()) shape += "+" + step.required_label;
-    if (step.max_per_vm > 0) shape += "+apart" + std::to_string(step.max_per_vm);
+    if (step.max_per_vm > 0)
+      shape += "+apart" + std::to_string(step.max_per_vm);
   }
   return shape;
 }
@@ -56,6 +57,11 @@
   outbox_.push_back({vm, std::move(message)});
 }
 
+bool Dispatcher::MayStart(const Job& job) const {
+  if (!job.opened || job.progress.over()) return false;
+  return !job.inherited || unaccounted_.empty();
+}
+
 void Dispatcher::Decide(const std::string& workflow, const char* event,
                         const std::string& detail) {
   if (on_decision_) on_decision_(workflow, event, detail);
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -265,6 +265,9 @@
   // To be stored with the next commit.
   void MarkDirty(Job& job);
   void Send(const std::string& vm, DispatchMessage message);
+  // Whether its tasks may be started: it is stored under this epoch, and what
+  // an earlier owner may have started of it is known.
+  bool MayStart(const Job& job) const;
   void Decide(const std::string& workflow, const char* event,
               const std::string& detail);
   // The VM's work under earlier owners is known.
@@ -368,6 +371,7 @@
                                          const std::string& image,
                                          TimePoint now) const;
   void RelocateServing(TimePoint now);
+  void Relocate(const Relocation& plan, TimePoint now);
 
   // In dispatch_placement.cc.
   void StartWaiting(TimePoint now, UnixMillis unix_now);
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -72,6 +72,7 @@
                    labels);
     ResetLife();
     leaving_since_.reset();
+    runner_is_gone_ = false;
     inventory_wanted_ = true;
     last_answer_ = hooks_.now();
   }
@@ -151,6 +152,7 @@
   leaving_since_.reset();
   ResetLife();
   status_ = VmStatus();
+  runner_is_gone_ = true;
   // Without a runner there is nothing to look at.
   if (owner_link_) SendEmptyInventory();
 }
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -76,6 +76,8 @@
 
   uint64_t epoch() const { return epoch_; }
   bool owned() const { return owner_link_.has_value(); }
+  // Whether its runner has said that it ends, and its tasks are gone.
+  bool runner_is_gone() const { return runner_is_gone_; }
   // How long ago an owner last gave a lease, or this process began.
   Duration SinceLease() const { return hooks_.now() - renewed_at_; }
   const ExecutorCounts& counts() const { return counts_; }
@@ -185,6 +187,7 @@
 
   VmStatus status_;
   std::optional<TimePoint> leaving_since_;
+  bool runner_is_gone_ = false;
   RunnerClock clock_{};  // The runner's reading at `clock_at_`.
   TimePoint clock_at_{};
   bool clock_known_ = false;
--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -85,12 +85,33 @@
       std::move(transaction), lifetime_.Guard([this](CommitAnswer answer) {
         if (answer.result == CommitResult::kCommitted) {
           Log(LogLevel::kInfo, "vm_registered", {{"vm", settings_.vm}});
+          row_version_ = answer.versions.front();
           return;
         }
         register_again_ = loop_.After(kRegisterRetry, [this] { Register(); });
       }));
 }
 
+void ExecutorProcess::Leave(std::function<void()> done) {
+  if (!executor_->runner_is_gone() || row_version_ == 0) {
+    done();
+    return;
+  }
+  // Under its version: should this take effect late, it can't remove what a
+  // later process on the VM has written.
+  Transaction transaction;
+  transaction.writes.push_back(
+      {kVmRows + settings_.vm, row_version_, std::nullopt});
+  table_.commit(
+      std::move(transaction),
+      lifetime_.Guard([this, done = std::move(done)](CommitAnswer answer) {
+        Log(LogLevel::kInfo, "vm_unregistered",
+            {{"vm", settings_.vm},
+             {"stored", answer.result == CommitResult::kCommitted}});
+        done();
+      }));
+}
+
 LinkHooks ExecutorProcess::OnAccept(Link& link) {
   const uint64_t id = next_link_++;
   links_[id] = &link;
--- a/beamhill/executor/executor_process.h
+++ b/beamhill/executor/executor_process.h
@@ -7,6 +7,8 @@
 #ifndef BEAMHILL_EXECUTOR_EXECUTOR_PROCESS_H_
 #define BEAMHILL_EXECUTOR_EXECUTOR_PROCESS_H_
 
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -35,6 +37,9 @@
       TaskRunner runner, Metrics& metrics);
 
   Executor& executor() { return *executor_; }
+  // Prepares the end of the process, then calls `done`. Where the runner has
+  // left, the VM's row goes: owners that come later need not wait for it.
+  void Leave(std::function<void()> done);
   std::string Dump() const;
 
  private:
@@ -55,6 +60,7 @@
   uint64_t next_link_ = 1;
   Timer tick_;
   Timer register_again_;
+  uint64_t row_version_ = 0;  // As this process wrote it; 0: not yet.
   Lifetime lifetime_;
 };
 
--- a/beamhill/scheduler/handover.cc
+++ b/beamhill/scheduler/handover.cc
@@ -13,8 +13,6 @@
 constexpr Duration kLongestClaimDelay = std::chrono::milliseconds(600);
 // What a peer said longer ago may no longer hold.
 constexpr Duration kFreshHeartbeat = std::chrono::milliseconds(800);
-// The store answered the peer so lately, counted until now.
-constexpr Duration kServedWithin = std::chrono::milliseconds(700);
 // An owner asks the store at least each 400 ms, so that this is a second
 // call without an answer.
 constexpr Duration kCutOffAfter = std::chrono::milliseconds(1000);
@@ -34,7 +32,8 @@
   return std::chrono::duration_cast<Duration>(missing * kLongestClaimDelay);
 }
 
-std::optional<size_t> BestServedPeer(const std::vector<PeerView>& peers) {
+std::optional<size_t> BestServedPeer(const std::vector<PeerView>& peers,
+                                     Duration served_within) {
   std::optional<size_t> best;
   const auto rank = [&](size_t i) {
     // More than enough counts for nothing.
@@ -43,7 +42,7 @@
   };
   for (size_t i = 0; i < peers.size(); ++i) {
     const PeerView& peer = peers[i];
-    const bool served = peer.store_silence + peer.heard_ago < kServedWithin;
+    const bool served = peer.store_silence + peer.heard_ago < served_within;
     if (peer.heard_ago >= kFreshHeartbeat || !served) continue;
     if (!best || rank(i) > rank(*best)) best = i;
   }
--- a/beamhill/scheduler/handover.h
+++ b/beamhill/scheduler/handover.h
@@ -38,9 +38,15 @@
   double strength = 1;
 };
 
-// The strongest peer that the store answers, by what was heard lately; among
-// equals the one that it answered last.
-std::optional<size_t> BestServedPeer(const std::vector<PeerView>& peers);
+// In calm times the store answers each scheduler's watch this often, and some.
+inline constexpr Duration kServedInCalm = std::chrono::milliseconds(2200);
+// When it may have stopped answering some a moment ago.
+inline constexpr Duration kServedJustNow = std::chrono::milliseconds(700);
+
+// The strongest peer that the store has answered within that time, by what was
+// heard lately; among equals the one that it answered last.
+std::optional<size_t> BestServedPeer(const std::vector<PeerView>& peers,
+                                     Duration served_within);
 
 // Whether the owner should give way to that peer, which the store answers.
 bool ShouldHandOver(const OwnerView& owner, const PeerView& peer);
--- a/beamhill/scheduler/handover_test.cc
+++ b/beamhill/scheduler/handover_test.cc
@@ -30,17 +30,26 @@
 }
 
 TEST(HandoverTest, PeersThatAreSilentOrCutOffAreNoChoice) {
-  EXPECT_FALSE(BestServedPeer({}));
-  EXPECT_FALSE(BestServedPeer({Served(1, 900)}));
+  EXPECT_FALSE(BestServedPeer({}, kServedJustNow));
+  EXPECT_FALSE(BestServedPeer({Served(1, 900)}, kServedJustNow));
   PeerView unheard = Served(1);
   unheard.heard_ago = milliseconds(900);
-  EXPECT_FALSE(BestServedPeer({unheard}));
+  EXPECT_FALSE(BestServedPeer({unheard}, kServedJustNow));
 }
 
 TEST(HandoverTest, StrongestPeerIsChosenThenTheOneServedLast) {
-  EXPECT_EQ(BestServedPeer({Served(0.2), Served(1.5), Served(0.5)}), 1);
+  EXPECT_EQ(
+      BestServedPeer({Served(0.2), Served(1.5), Served(0.5)}, kServedJustNow),
+      1);
   // Both have enough; the second was answered later.
-  EXPECT_EQ(BestServedPeer({Served(4, 500), Served(1, 20)}), 1);
+  EXPECT_EQ(BestServedPeer({Served(4, 500), Served(1, 20)}, kServedJustNow), 1);
+}
+
+// A planned stop in calm times: strong peers were answered a second ago.
+TEST(HandoverTest, StrongPeerIsChosenInCalmThoughAWeakOneWasServedLater) {
+  const std::vector<PeerView> peers = {Served(0.2, 20), Served(2, 1400)};
+  EXPECT_EQ(BestServedPeer(peers, kServedInCalm), 1);
+  EXPECT_EQ(BestServedPeer(peers, kServedJustNow), 0);
 }
 
 TEST(HandoverTest, OwnerThatTheStoreDoesNotAnswerGivesWay) {
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -143,7 +143,7 @@
           peer.last.strength};
 }
 
-const Scheduler::Peer* Scheduler::Successor() const {
+const Scheduler::Peer* Scheduler::Successor(Duration served_within) const {
   std::vector<PeerView> views;
   std::vector<const Peer*> candidates;
   for (const auto& [link, peer] : peers_) {
@@ -151,12 +151,12 @@
     views.push_back(ViewOf(peer));
     candidates.push_back(&peer);
   }
-  const auto best = BestServedPeer(views);
+  const auto best = BestServedPeer(views, served_within);
   return best ? candidates[*best] : nullptr;
 }
 
-void Scheduler::OfferHandOver(uint64_t epoch) {
-  const Peer* peer = Successor();
+void Scheduler::OfferHandOver(uint64_t epoch, Duration served_within) {
+  const Peer* peer = Successor(served_within);
   if (peer == nullptr) return;
   Log(LogLevel::kInfo, "handing_over",
       {{"to", peer->last.name}, {"epoch", epoch}});
@@ -164,10 +164,13 @@
 }
 
 void Scheduler::HandOverIfDue() {
-  const Peer* peer = keeper_->owns() ? Successor() : nullptr;
-  if (peer == nullptr) return;
+  if (!keeper_->owns()) return;
   const OwnerView own = {hooks_.store_silence(), BootClock::now() - taken_at_,
                          settings_.strength};
+  const Duration served_within =
+      own.store_silence < kProbeAfter ? kServedInCalm : kServedJustNow;
+  const Peer* peer = Successor(served_within);
+  if (peer == nullptr) return;
   if (!ShouldHandOver(own, ViewOf(*peer))) return;
   Log(LogLevel::kInfo, "giving_way",
       {{"to", peer->last.name},
@@ -176,7 +179,7 @@
        {"peer_strength", peer->last.strength}});
   const uint64_t epoch = keeper_->epoch();
   keeper_->HandOverTo();
-  OfferHandOver(epoch);
+  OfferHandOver(epoch, served_within);
 }
 
 bool Scheduler::StoreAnswers() const {
@@ -221,7 +224,7 @@
     const uint64_t epoch = keeper_->epoch();
     keeper_->Release([this, epoch, done] {
       retired_owner_ = std::move(owner_);
-      OfferHandOver(epoch);
+      OfferHandOver(epoch, kServedInCalm);
       done();
     });
   });
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -114,10 +114,10 @@
   // Dials the new owner.
   void Follow(const OwnerRecord& owner);
   // The best peer to give the work to, by what it said lately; or null.
-  const Peer* Successor() const;
+  const Peer* Successor(Duration served_within) const;
   static PeerView ViewOf(const Peer& peer);
   // Tells such a peer that this process has stopped acting under the epoch.
-  void OfferHandOver(uint64_t epoch);
+  void OfferHandOver(uint64_t epoch, Duration served_within);
   void HandOverIfDue();
   // Asks the table for a sign of life when it has given none for a while.
   void ProbeStore();
