--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -277,8 +277,8 @@
                                    const std::optional<std::string>& rack) {
   const Workflow& workflow = job.progress.workflow();
   const bool advised = workflow.policy.needs_advice;
-  const bool simple = step.max_per_vm == 0 && step.required_label.empty() &&
-                      !advised && !rack;
+  const bool simple =
+      step.max_per_vm == 0 && step.required_label.empty() && !advised && !rack;
   if (simple && HadNoRoom(workflow.service, step)) return nullptr;
   Vm* best = nullptr;
   double best_cost = 0;
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -19,7 +19,9 @@
     if (step.fills) shape += "+fills";
     if (step.long_running) shape += "+lasting";
     if (!step.required_label.empty()) shape += "+" + step.required_label;
-    if (step.max_per_vm > 0) shape += "+apart" + std::to_string(step.max_per_vm);
+    if (step.max_per_vm > 0) {
+      shape += "+apart" + std::to_string(step.max_per_vm);
+    }
   }
   return shape;
 }
