State two constants once

kMillisOfCore stood in three files and moves beside Resources, whose unit it tells. The part of its target above which a filler harms a serving image stood twice, as kHarmfulRatio and kHarmfulPart, with the same value and meaning.

--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -10,13 +10,11 @@
 namespace {
 
 constexpr Duration kLayoutInterval = std::chrono::milliseconds(1000);
-// A filler that has this share of a VM and would bring a serving image above
-// this part of its target counts as harmful to it.
+// Share of a VM that a filler is taken to have when it is asked whether it is
+// harmful to a serving image.
 constexpr double kUsualShare = 0.2;
-constexpr double kHarmfulPart = 0.85;
 // Demand is smoothed over some seconds: images come and go with their jobs.
 constexpr double kDemandSmoothing = 0.2;
-constexpr double kMillisOfCore = 1000;
 // A move takes a serving task away for one or two seconds; it must win this
 // much processor time for fillers.
 constexpr double kLeastGainCores = 1.0;
@@ -61,7 +59,7 @@
   const auto target = tail_targets_.find(serving);
   const auto tail = interference_.Predict(serving, {{filling, kUsualShare}});
   if (!tail || target == tail_targets_.end()) return false;
-  return ToMillis(*tail) > kHarmfulPart * ToMillis(target->second);
+  return ToMillis(*tail) > kHarmfulRatio * ToMillis(target->second);
 }
 
 void Dispatcher::RefreshLayout(TimePoint now) {
--- a/beamhill/dispatch/dispatch_pressure.cc
+++ b/beamhill/dispatch/dispatch_pressure.cc
@@ -21,7 +21,6 @@
 // so long: longer than most tasks take.
 constexpr Duration kHopelessAfter = std::chrono::milliseconds(2500);
 constexpr int32_t kWholePace = 100;
-constexpr double kMillisOfCore = 1000;
 // Part of a VM's free processor time by which fillers may be pushed aside.
 constexpr double kPushedAside = 0.25;
 // Behind every filler.
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -186,7 +186,8 @@
 
  private:
   // A filler that is expected to bring a serving image above this part of its
-  // target is kept away, or paced once there; so such a place comes last.
+  // target is harmful to it: it is kept away, or paced once there; so such a
+  // place comes last.
   static constexpr double kHarmfulRatio = 0.85;
   // Share of what serving tasks ask for that they use on average; what they
   // leave is taken by tasks that fill. From the workloads' sheets.
--- a/beamhill/work/work.h
+++ b/beamhill/work/work.h
@@ -16,6 +16,9 @@
 
 namespace beamhill {
 
+// Thousandths in a core, the unit of `Resources::cpu_millis`.
+inline constexpr double kMillisOfCore = 1000;
+
 // An amount of a VM's capacity, or of what a task may use of it.
 struct Resources {
   int64_t cpu_millis = 0;  // Thousandths of a core.
--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -161,7 +161,6 @@
 }
 
 double WorkflowProgress::RemainingWork(uint32_t round) const {
-  constexpr double kMillisOfCore = 1000;
   double work = 0;
   for (uint32_t step = 0; step < workflow_.steps.size(); ++step) {
     const WorkflowStep& spec = workflow_.steps[step];
