--- a/beamhill/executor/executor_pacing.cc
+++ b/beamhill/executor/executor_pacing.cc
@@ -17,6 +17,7 @@
 // Share of what serving tasks ask for that they use, on average over their
 // swings; from the workloads' sheets.
 constexpr int64_t kServingUsePercent = 50;
+constexpr int kWholePercent = 100;
 // What a filler works at after a pace order without an answer.
 constexpr int kUnknownPercent = -1;
 // A sample covers half a second; more often would count it twice.
@@ -48,7 +49,7 @@
           static_cast<double>(running.measure) / whole;
       continue;
     }
-    seen.free_cpu -= traits.cpu_millis * kServingUsePercent / 100;
+    seen.free_cpu -= traits.cpu_millis * kServingUsePercent / kWholePercent;
     if (running.measure > 0) {
       seen.serving.push_back({traits.image,
                               std::chrono::milliseconds(running.measure),
@@ -76,7 +77,7 @@
   for (const RunRef& run : fillers) {
     const TaskTraits& traits = paced_.at(run).traits;
     allowed_cpu[traits.image] +=
-        traits.cpu_millis * pacer_.PercentOf(traits.image) / 100;
+        traits.cpu_millis * pacer_.PercentOf(traits.image) / kWholePercent;
   }
   for (const RunRef& run : fillers) {
     const Paced& paced = paced_.at(run);
@@ -86,10 +87,10 @@
         std::max<int64_t>(std::min({cpu, of_image, free_cpu}), 0);
     of_image -= granted;
     free_cpu -= granted;
-    const auto percent = static_cast<int>(granted * 100 / cpu);
+    const auto percent = static_cast<int>(granted * kWholePercent / cpu);
     const int change = std::abs(paced.percent - percent);
     const bool worth_it =
-        change >= kLeastPaceChange || percent == 0 || percent == 100;
+        change >= kLeastPaceChange || percent == 0 || percent == kWholePercent;
     if (change > 0 && worth_it) OrderPace(run, percent);
   }
 }
