--- a/beamhill/testing/test_estate.cc
+++ b/beamhill/testing/test_estate.cc
@@ -1,10 +1,5 @@
 #include "beamhill/testing/test_estate.h"
 
-#include <fcntl.h>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -15,8 +10,6 @@
 #include "beamhill/ctl/http_call.h"
 #include "beamhill/testing/free_port.h"
 
-extern char** environ;
-
 namespace beamhill {
 namespace {
 
@@ -50,15 +43,11 @@
   }
   for (int i = 1; i <= options.entries; ++i) AddEntry(i);
   for (int i = 1; i <= options.vms; ++i) AddVm(i);
-  for (const auto& [name, process] : processes_) Start(name);
+  for (auto& [name, process] : processes_) process.Start();
 }
 
 TestEstate::~TestEstate() {
-  for (auto& [name, process] : processes_) {
-    if (process.pid == 0) continue;
-    kill(process.pid, SIGKILL);
-    waitpid(process.pid, nullptr, 0);
-  }
+  for (auto& [name, process] : processes_) process.Signal(SIGKILL);
   std::filesystem::remove_all(directory_);
 }
 
@@ -72,7 +61,9 @@
 
 void TestEstate::Add(const std::string& name,
                      std::vector<std::string> command) {
-  processes_[name].command = std::move(command);
+  processes_[name] =
+      ChildProcess(std::move(command), directory_ + "/" + name + ".log",
+                   ChildProcess::Logged::kOutputAndErrors);
 }
 
 void TestEstate::AddEntry(int number) {
@@ -117,38 +108,16 @@
 }
 
 void TestEstate::Start(const std::string& process) {
-  Process& p = processes_.at(process);
-  std::vector<char*> arguments;
-  for (std::string& word : p.command) arguments.push_back(word.data());
-  arguments.push_back(nullptr);
-  const std::string log = directory_ + "/" + process + ".log";
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  for (const int fd : {STDOUT_FILENO, STDERR_FILENO}) {
-    posix_spawn_file_actions_addopen(&actions, fd, log.c_str(),
-                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
-  }
-  posix_spawn(&p.pid, arguments[0], &actions, nullptr, arguments.data(),
-              environ);
-  posix_spawn_file_actions_destroy(&actions);
+  processes_.at(process).Start();
 }
 
 void TestEstate::Signal(const std::string& process, int signal_number) {
-  Process& p = processes_.at(process);
-  if (p.pid == 0) return;
-  kill(p.pid, signal_number);
-  if (signal_number != SIGKILL) return;
-  waitpid(p.pid, nullptr, 0);
-  p.pid = 0;
+  processes_.at(process).Signal(signal_number);
 }
 
 bool TestEstate::WaitForEnd(const std::string& process, Duration limit) {
-  Process& p = processes_.at(process);
-  return WaitFor(limit, [&p] {
-    if (waitpid(p.pid, nullptr, WNOHANG) != p.pid) return false;
-    p.pid = 0;
-    return true;
-  });
+  ChildProcess& child = processes_.at(process);
+  return WaitFor(limit, [&child] { return child.Ended(); });
 }
 
 TestEstate::Answer TestEstate::Call(const Address& server,
@@ -204,8 +173,7 @@
 int TestEstate::Owner() const {
   for (int i = 1; i <= options_.entries; ++i) {
     // A stopped process would not answer; its pid tells.
-    const Process& process = processes_.at("entry-" + std::to_string(i));
-    if (process.pid == 0) continue;
+    if (!processes_.at("entry-" + std::to_string(i)).started()) continue;
     const Answer state = Call(Operators(i), "GET", "/v1/state");
     if (!state.body.is_object()) continue;
     for (const Json& cell : state.body.at("cells")) {
@@ -218,7 +186,7 @@
 bool TestEstate::WaitUntilOwned() const {
   return WaitFor(std::chrono::seconds(30), [this] {
     for (int i = 1; i <= options_.entries; ++i) {
-      if (processes_.at("entry-" + std::to_string(i)).pid == 0) continue;
+      if (!processes_.at("entry-" + std::to_string(i)).started()) continue;
       const Answer state = Call(Operators(i), "GET", "/v1/state");
       if (!state.body.is_object()) return false;
       if (state.body.value("agents", 0) != options_.vms) return false;
@@ -231,7 +199,7 @@
                                    Duration limit) const {
   return WaitFor(limit, [&] {
     for (int i = 1; i <= options_.entries; ++i) {
-      if (processes_.at("entry-" + std::to_string(i)).pid == 0) continue;
+      if (!processes_.at("entry-" + std::to_string(i)).started()) continue;
       const Answer status = Call(Callers(i), "GET", "/v1/jobs/" + job);
       if (!status.body.is_object()) continue;
       if (status.body.value("state", "") == "finished") return true;
--- a/beamhill/testing/test_estate.h
+++ b/beamhill/testing/test_estate.h
@@ -6,8 +6,6 @@
 #ifndef BEAMHILL_TESTING_TEST_ESTATE_H_
 #define BEAMHILL_TESTING_TEST_ESTATE_H_
 
-#include <sys/types.h>
-
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -18,6 +16,7 @@
 
 #include "beamhill/base/time.h"
 #include "beamhill/http/http_client.h"
+#include "beamhill/testing/child_process.h"
 
 namespace beamhill {
 
@@ -68,10 +67,6 @@
   bool WaitUntilFinished(const std::string& job, Duration limit) const;
 
  private:
-  struct Process {
-    std::vector<std::string> command;
-    pid_t pid = 0;
-  };
   Address Port(const std::string& kind, int number) const;
   void Reserve(const std::string& kind, int number);
   void AddEntry(int number);
@@ -81,7 +76,7 @@
   TestEstateOptions options_;
   std::string directory_;
   std::map<std::string, uint16_t> ports_;
-  std::map<std::string, Process> processes_;
+  std::map<std::string, ChildProcess> processes_;
 };
 
 }  // namespace beamhill
