--- a/beamhill/standby/standby_owner.h
+++ b/beamhill/standby/standby_owner.h
@@ -46,7 +46,6 @@
   ~StandbyOwner();
 
   bool stands_in() const { return scheduler_ != nullptr; }
-  bool owns() const { return scheduler_ && scheduler_->owns(); }
   std::string Dump() const;
 
  private:
