Share links that ask or tell several peers the same

A scheduler's queries while it is alone and a new owner's announcements each kept a vector of links whose hooks went by an index into it, and each walked the known addresses; DialedPeers and KnownAddresses do both. Retired announcements keep their own links, so that the index of one can't meet the vector of the next.

--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -42,7 +42,8 @@
       incarnation_(random_() >> 1),
       desk_(table),
       questions_(loop),
-      relays_(loop) {
+      relays_(loop),
+      queries_(loop, QueryHooks()) {
   owner_metrics_.commit = &metrics.AddLatency(
       "beamhill_commit_latency", "From sending a transaction to its answer.");
   owner_metrics_.starts =
@@ -110,7 +111,6 @@
   notices_.clear();
   if (!followed_.address.empty()) known_peers_.insert(followed_.address);
   retired_announcements_ = std::move(announcements_);
-  announcements_.clear();
   Announce();
 }
 
@@ -195,7 +195,7 @@
 void Scheduler::Tick() {
   retired_peers_.clear();
   retired_owner_.reset();
-  retired_announcements_.clear();
+  retired_announcements_.reset();
   keeper_->Tick();
   const TimePoint now = BootClock::now();
   if (keeper_->owns()) ProbeStore();
@@ -205,7 +205,7 @@
   const bool beat_due = now - last_heartbeat_ >= kHeartbeatInterval;
   if (beat_due) {
     last_heartbeat_ = now;
-    for (const auto& query : queries_) query->Send(Heartbeat());
+    if (!queries_.empty()) queries_.Send(Heartbeat());
   }
   if (!owner_peer_) return;
   owner_peer_->CloseIfSilent(kOwnerSilence);
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -26,6 +26,7 @@
 #include "beamhill/link/link.h"
 #include "beamhill/metrics/metrics.h"
 #include "beamhill/scheduler/dialed_peer.h"
+#include "beamhill/scheduler/dialed_peers.h"
 #include "beamhill/scheduler/handover.h"
 #include "beamhill/scheduler/job_desk.h"
 #include "beamhill/scheduler/open_calls.h"
@@ -126,6 +127,8 @@
 
   // In scheduler_peers.cc.
   SchedulerHeartbeat Heartbeat() const;
+  // Of the schedulers that this process knows of, without itself.
+  std::vector<Address> KnownAddresses() const;
   // Sends the service settings to a peer whose version is older.
   void ShareSettings(uint64_t peers_version,
                      const std::function<void(const DispatchMessage&)>& send);
@@ -144,7 +147,7 @@
   // While neither the table nor an owner is heard, asks other schedulers for
   // newer service settings and for the owner.
   void QueryPeers(TimePoint now);
-  void QueryPeer(const Address& address);
+  DialedPeersHooks QueryHooks();
   void OnQueryAnswer(const DispatchMessage& message);
   static std::string CancelKey(const std::string& workflow);
 
@@ -188,12 +191,12 @@
   TimePoint owner_heard_at_{};
   TimePoint taken_at_{};  // When this process took the ownership.
   bool probing_ = false;
-  std::vector<std::unique_ptr<DialedPeer>> queries_;
+  DialedPeers queries_;  // While neither the table nor an owner is heard.
   // Addresses of schedulers, as the owner told them.
   std::set<std::string> known_peers_;
   // Links on which this process makes its ownership known.
-  std::vector<std::unique_ptr<DialedPeer>> announcements_;
-  std::vector<std::unique_ptr<DialedPeer>> retired_announcements_;
+  std::unique_ptr<DialedPeers> announcements_;
+  std::unique_ptr<DialedPeers> retired_announcements_;
   Timer end_announcements_;
   TimePoint last_heartbeat_{};
   Timer tick_;
--- a/beamhill/scheduler/scheduler_peers.cc
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -159,34 +159,29 @@
                      hooks_.store_silence() >= kAloneAfter &&
                      now - owner_heard_at_ >= kAloneAfter;
   if (!alone) {
-    queries_.clear();
+    queries_.Clear();
     return;
   }
   if (!queries_.empty()) {
-    for (const auto& query : queries_) query->CloseIfSilent(kAloneAfter);
+    queries_.CloseIfSilent(kAloneAfter);
     return;
   }
-  std::vector<std::string> addresses(known_peers_.begin(), known_peers_.end());
+  std::vector<Address> addresses = KnownAddresses();
   std::shuffle(addresses.begin(), addresses.end(), random_);
-  for (const std::string& text : addresses) {
-    const Result<Address> address = ParseAddress(text);
-    if (!IsOk(address) || text == ToString(settings_.peers)) continue;
-    QueryPeer(ValueOf(address));
-    if (queries_.size() == kQueriedPeers) break;
+  if (addresses.size() > kQueriedPeers) addresses.resize(kQueriedPeers);
+  for (const Address& address : addresses) {
+    Log(LogLevel::kInfo, "asking_peer",
+        {{"peer", ToString(address)},
+         {"settings_version", hooks_.settings_version()}});
+    queries_.Dial(address);
   }
 }
 
-void Scheduler::QueryPeer(const Address& address) {
-  Log(LogLevel::kInfo, "asking_peer",
-      {{"peer", ToString(address)},
-       {"settings_version", hooks_.settings_version()}});
-  const size_t index = queries_.size();
-  DialedPeerHooks hooks;
-  hooks.on_open = [this, index] { queries_[index]->Send(Heartbeat()); };
+DialedPeersHooks Scheduler::QueryHooks() {
+  DialedPeersHooks hooks;
+  hooks.on_open = [this](DialedPeer& peer) { peer.Send(Heartbeat()); };
   hooks.on_message = [this](const DispatchMessage& m) { OnQueryAnswer(m); };
-  hooks.on_down = [](bool) {};
-  queries_.push_back(
-      std::make_unique<DialedPeer>(loop_, address, std::move(hooks)));
+  return hooks;
 }
 
 void Scheduler::OnQueryAnswer(const DispatchMessage& message) {
@@ -197,23 +192,28 @@
   }
 }
 
-void Scheduler::Announce() {
+std::vector<Address> Scheduler::KnownAddresses() const {
+  std::vector<Address> addresses;
   for (const std::string& text : known_peers_) {
     const Result<Address> address = ParseAddress(text);
     if (!IsOk(address) || text == ToString(settings_.peers)) continue;
-    const size_t index = announcements_.size();
-    DialedPeerHooks hooks;
-    hooks.on_open = [this, index] {
-      if (!keeper_->owns()) return;
-      announcements_[index]->Send(OwnerAnnounced{keeper_->record()});
-    };
-    hooks.on_message = [](const DispatchMessage&) {};
-    hooks.on_down = [](bool) {};
-    announcements_.push_back(std::make_unique<DialedPeer>(
-        loop_, ValueOf(address), std::move(hooks)));
+    addresses.push_back(ValueOf(address));
+  }
+  return addresses;
+}
+
+void Scheduler::Announce() {
+  DialedPeersHooks hooks;
+  hooks.on_open = [this](DialedPeer& peer) {
+    if (keeper_->owns()) peer.Send(OwnerAnnounced{keeper_->record()});
+  };
+  hooks.on_message = [](const DispatchMessage&) {};
+  announcements_ = std::make_unique<DialedPeers>(loop_, std::move(hooks));
+  for (const Address& address : KnownAddresses()) {
+    announcements_->Dial(address);
   }
   end_announcements_ =
-      loop_.After(kAnnounceFor, [this] { announcements_.clear(); });
+      loop_.After(kAnnounceFor, [this] { announcements_.reset(); });
 }
 
 }  // namespace beamhill
