--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -10,13 +10,11 @@
 namespace {
 
 constexpr Duration kLayoutInterval = std::chrono::milliseconds(1000);
-// A filler that has this share of a VM and would bring a serving image above
-// this part of its target counts as harmful to it.
+// Share of a VM that a filler is taken to have when it is asked whether it is
+// harmful to a serving image.
 constexpr double kUsualShare = 0.2;
-constexpr double kHarmfulPart = 0.85;
 // Demand is smoothed over some seconds: images come and go with their jobs.
 constexpr double kDemandSmoothing = 0.2;
-constexpr double kMillisOfCore = 1000;
 // A move takes a serving task away for one or two seconds; it must win this
 // much processor time for fillers.
 constexpr double kLeastGainCores = 1.0;
@@ -64,7 +62,7 @@
   const auto target = tail_targets_.find(serving);
   const auto tail = interference_.Predict(serving, {{filling, kUsualShare}});
   if (!tail || target == tail_targets_.end()) return false;
-  return ToMillis(*tail) > kHarmfulPart * ToMillis(target->second);
+  return ToMillis(*tail) > kHarmfulRatio * ToMillis(target->second);
 }
 
 void Dispatcher::RefreshLayout(TimePoint now) {
@@ -184,13 +182,8 @@
   for (const RunRef& run : plan.runs) {
     Job* job = Find(run.task.workflow);
     if (!AllAtWork(*job, run, now)) continue;
-    job->progress.At(run.task).avoid_vm = plan.vm;
-    Stop(plan.vm, vms_[plan.vm], run);
-    ++counts_.moved;
-    Decide(run.task.workflow, "run_moved",
-           run.task.ToString() + " run " + std::to_string(run.run) + " off " +
-               plan.vm + ": fillers would win " + std::to_string(plan.gain) +
-               " cores");
+    MoveOff(plan.vm, vms_[plan.vm], *job, run,
+            "fillers would win " + std::to_string(plan.gain) + " cores");
   }
 }
 
