--- a/beamhill/standby/standby_owner.cc
+++ b/beamhill/standby/standby_owner.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(250);
+// After its address could not be listened on.
+constexpr Duration kJoinPause = std::chrono::seconds(2);
 // Below every scheduler: it claims last and hands over to any of them.
 constexpr double kStrength = 0.05;
 // Schedulers that live claim within a second once the table answers; after an
@@ -40,7 +42,8 @@
 void StandbyOwner::Tick() {
   if (scheduler_) {
     LeaveIfNotNeeded(hooks_.now());
-  } else if (hooks_.since_lease() >= settings_.patience) {
+  } else if (hooks_.since_lease() >= settings_.patience &&
+             hooks_.now() >= join_after_) {
     Join();
   }
 }
@@ -72,6 +75,7 @@
   if (!IsOk(scheduler)) {
     Log(LogLevel::kError, "cannot_stand_in",
         {{"error", ErrorOf(scheduler).message}});
+    join_after_ = hooks_.now() + kJoinPause;
     return;
   }
   Log(LogLevel::kWarning, "standing_in",
--- a/beamhill/standby/standby_owner.h
+++ b/beamhill/standby/standby_owner.h
@@ -66,6 +66,7 @@
   // Of the scheduler, whose figures go with it.
   std::unique_ptr<Metrics> scheduler_metrics_;
   std::unique_ptr<Scheduler> scheduler_;
+  TimePoint join_after_{};
   std::optional<TimePoint> not_needed_since_;
   Timer tick_;
 };
