Start late fillers in harmful places by single runs only

Cause: once a workflow was late, its fillers went anywhere with room.

Change: a filler stays away from where its image is held back, late or not. A workflow with nothing at work for a second still gets one run anywhere, so that none is left lying.

Test: HarmfulPlaceIsForTheOneRunThatKeepsWorkGoing, two starts before.

--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -32,6 +32,10 @@
 // Executors are told of a filler's order when it has changed by this part.
 constexpr double kOrderSlack = 0.3;
 constexpr Duration kOrderInterval = std::chrono::milliseconds(500);
+// A workflow with nothing at work for so long gets one run wherever there is
+// room, even where it will be held back: a third of the time after which the
+// users count its work as lost.
+constexpr Duration kIdleLimit = std::chrono::milliseconds(1000);
 
 }  // namespace
 
@@ -58,7 +62,7 @@
   // What comes before others may push them aside, but only so many.
   const double pushed = kPushedAside * FreeCores(vm) * kMillisOfCore;
   if (FreeCpuFor(vm, kLastOrder) + pushed < asked) return false;
-  if (now > job.due) return true;
+  if (job.idle_since && now - *job.idle_since >= kIdleLimit) return true;
   const bool starved = PaceOf(vm, filler.image) < kStarvedPercent;
   return !starved && WorstTailRatio(vm, filler) < kForbiddenRatio;
 }
@@ -105,9 +109,24 @@
   return starved;
 }
 
+void Dispatcher::RefreshIdle(TimePoint now) {
+  std::set<std::string> at_work;
+  for (const auto& [name, vm] : vms_) {
+    for (const auto& [run, held] : vm.held) at_work.insert(run.task.workflow);
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (job->progress.over() || at_work.count(id) > 0) {
+      job->idle_since.reset();
+    } else if (!job->idle_since) {
+      job->idle_since = now;
+    }
+  }
+}
+
 void Dispatcher::RefreshOrder(TimePoint now, UnixMillis unix_now) {
   if (now - order_refreshed_at_ < kOrderInterval) return;
   order_refreshed_at_ = now;
+  RefreshIdle(now);
   for (const auto& [id, job] : jobs_) {
     if (!job->progress.over()) SetYieldOrder(*job, now, unix_now);
   }
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -311,6 +311,7 @@
   const Workflow& workflow = job.progress.workflow();
   const WorkflowStep& step = workflow.steps[ref.step];
   Hold(vm, {ref, run}, job, step);
+  job.idle_since.reset();
   const std::string checkpoint =
       step.saves_progress ? job.progress.At(ref).checkpoint : "";
   job.progress.OnStarted(ref, run, name, now);
--- a/beamhill/dispatch/dispatch_pressure_test.cc
+++ b/beamhill/dispatch/dispatch_pressure_test.cc
@@ -61,6 +61,26 @@
   EXPECT_EQ(starts[0].first, calm_vm);
 }
 
+// Where a filler's image is harmful it would only be held back, after a burst
+// of harm; so even late work is started there by single runs alone, and only
+// while nothing else of it runs.
+TEST_F(DispatcherPressureTest, HarmfulPlaceIsForTheOneRunThatKeepsWorkGoing) {
+  const std::string calm_vm = ServeCalmAndTouchy();
+  const std::string other = calm_vm == "vm-1" ? "vm-2" : "vm-1";
+  Teach(calm_vm);
+  dispatcher_->OnLinkDown(calm_vm);
+  Workflow filling = Filler();
+  filling.steps[0].tasks = 3;
+  filling.steps[0].each.cpu_millis = 1800;  // Two have room.
+  dispatcher_->AddWorkflow(filling, std::nullopt, now_);
+  EXPECT_THAT(Tick().starts, SizeIs(0));
+  // Its objective is two seconds.
+  Pass(std::chrono::seconds(4), {other});
+  const auto starts = Take().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts[0].first, other);
+}
+
 TEST_F(DispatcherPressureTest, NextOwnerRecallsWhatWasLearned) {
   Teach(ServeCalmAndTouchy());
   const PressureRecord learned = dispatcher_->LearnedPressure();
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -216,6 +216,7 @@
     // the work that is left.
     double yield_order = 0;
     std::optional<TimePoint> over_at;
+    std::optional<TimePoint> idle_since;  // While none of its tasks is held.
     // By round and step; for queues whose placement an advisor restricts.
     std::map<std::pair<uint32_t, uint32_t>, StepAdvice> advice;
   };
@@ -344,8 +345,8 @@
   // count by what their pace lets them use.
   double FreeCpuFor(const Vm& vm, double yield_order) const;
   // Whether the processor time that is left over on the VM is enough for the
-  // filler, and whether it is expected to be let work. Once late, it goes
-  // anywhere.
+  // filler, and whether it is expected to be let work. The first run of a
+  // workflow that has waited for long goes anywhere.
   bool HasRoomToFill(const Vm& vm, const Job& job, const WorkflowStep& filler,
                      TimePoint now) const;
   // The pace of an image's tasks as last reported, in percent.
@@ -355,6 +356,8 @@
   std::vector<RunRef> StarvedRuns(Vm& vm, TimePoint now);
   static bool MayBeMoved(const HeldRun& held, const WorkflowStep& step,
                          TimePoint now);
+  // Notes since when workflows have had nothing at work.
+  void RefreshIdle(TimePoint now);
   // Brings the order of fillers up to date, and tells their executors.
   void RefreshOrder(TimePoint now, UnixMillis unix_now);
   // Whether another VM has the room, and disturbs nothing there much.
