--- a/beamhill/executor/executor_pacing.cc
+++ b/beamhill/executor/executor_pacing.cc
@@ -45,8 +45,9 @@
     const TaskTraits& traits = it->second.traits;
     if (traits.fills) {
       seen.fillers.push_back(running.run);
-      seen.filling[traits.image] +=
-          static_cast<double>(running.measure) / whole;
+      Pacer::FillingShare& share = seen.filling[traits.image];
+      share.used += static_cast<double>(running.measure) / whole;
+      share.asked += static_cast<double>(traits.cpu_millis) / whole;
       continue;
     }
     seen.free_cpu -= traits.cpu_millis * kServingUsePercent / kWholePercent;
@@ -123,7 +124,8 @@
     pressure.serving.push_back({image, tail});
   }
   for (const auto& [image, share] : filling) {
-    const double cpu = share * static_cast<double>(status_.capacity.cpu_millis);
+    const double cpu =
+        share.used * static_cast<double>(status_.capacity.cpu_millis);
     pressure.filling.push_back(
         {image, static_cast<int64_t>(cpu), pacer_.PercentOf(image)});
   }
--- a/beamhill/executor/pacer.cc
+++ b/beamhill/executor/pacer.cc
@@ -12,6 +12,7 @@
 // A measurement covers half a second, so a change shows fully only then.
 constexpr Duration kCutPause = std::chrono::milliseconds(400);
 constexpr Duration kGivePause = std::chrono::milliseconds(300);
+constexpr int kWholePercent = 100;
 constexpr int kGiveStep = 12;
 // Below this share a filler is stopped altogether.
 constexpr int kLeastPercent = 8;
@@ -36,7 +37,7 @@
 
 int Pacer::PercentOf(const std::string& image) const {
   const auto it = percents_.find(image);
-  return it == percents_.end() ? 100 : it->second;
+  return it == percents_.end() ? kWholePercent : it->second;
 }
 
 double Pacer::WeightMillis(const std::string& serving,
@@ -102,7 +103,7 @@
     target = std::max(target, ToMillis(sample.target));
     for (const auto& [image, share] : filling) {
       known = known || weights_.count({sample.image, image}) > 0;
-      const double part = WeightMillis(sample.image, image) * share;
+      const double part = WeightMillis(sample.image, image) * share.used;
       blame[image] += part;
       total += part;
     }
@@ -120,17 +121,17 @@
   for (auto& entry : percents_) {
     const std::string& image = entry.first;
     int& percent = entry.second;
-    if (percent >= 100) continue;
+    if (percent >= kWholePercent) continue;
     const auto it = filling.find(image);
-    const double share = it == filling.end() ? 0 : it->second;
-    const double more = percent > 0 ? share * kGiveStep / percent : 0.02;
+    const double asked = it == filling.end() ? 0 : it->second.asked;
+    const double more = asked * kGiveStep / kWholePercent;
     const bool harmless = std::all_of(
         serving.begin(), serving.end(), [&](const ServingSample& sample) {
           const double expected =
               ToMillis(sample.tail) + WeightMillis(sample.image, image) * more;
           return expected < kCutAbove * ToMillis(sample.target);
         });
-    if (harmless) percent = std::min(100, percent + kGiveStep);
+    if (harmless) percent = std::min(kWholePercent, percent + kGiveStep);
   }
 }
 
--- a/beamhill/executor/pacer.h
+++ b/beamhill/executor/pacer.h
@@ -33,8 +33,12 @@
   // Serving and filling image to what the filler would add to the tail if it
   // had the whole VM.
   using Weights = std::map<std::pair<std::string, std::string>, Duration>;
-  // Share of the VM's processors that each filling image uses now.
-  using FillingShares = std::map<std::string, double>;
+  // Shares of the VM's processors.
+  struct FillingShare {
+    double used = 0;   // By all tasks of the image, now.
+    double asked = 0;  // What they would use at their full pace.
+  };
+  using FillingShares = std::map<std::string, FillingShare>;  // By image.
 
   // What the owner has learned; replaces what it said before.
   void SetWeights(Weights weights) { weights_ = std::move(weights); }
--- a/beamhill/executor/pacer_test.cc
+++ b/beamhill/executor/pacer_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+#include <string>
+
 namespace beamhill {
 namespace {
 
@@ -12,9 +15,12 @@
 
 class PacerTest : public testing::Test {
  protected:
-  // Observes the same figures for a while, every 250 ms.
+  // Observes the same figures for a while, every 250 ms; images by what they
+  // use.
   void Observe(Duration time, Duration tail,
-               const Pacer::FillingShares& filling) {
+               const std::map<std::string, double>& used) {
+    Pacer::FillingShares filling;
+    for (const auto& [image, share] : used) filling[image] = {share, asked_};
     const TimePoint end = now_ + time;
     while (now_ < end) {
       now_ += milliseconds(250);
@@ -23,6 +29,7 @@
   }
 
   TimePoint now_{std::chrono::hours(1)};
+  double asked_ = 0.5;  // By each filling image, of the whole VM.
   Pacer pacer_;
 };
 
@@ -64,6 +71,20 @@
   EXPECT_LT(pacer_.PercentOf("light"), 50);
 }
 
+TEST_F(PacerTest, GivesByWhatAllTasksOfAnImageAskFor) {
+  Observe(seconds(3), milliseconds(40), {{"heavy", 0.5}});
+  ASSERT_EQ(pacer_.PercentOf("heavy"), 0);
+  pacer_.SetWeights({{{"web", "heavy"}, milliseconds(120)}});
+  // A step of 12 % of half the VM would add 7.2 ms to 12.
+  asked_ = 0.5;
+  Observe(seconds(3), milliseconds(12), {{"heavy", 0}});
+  EXPECT_EQ(pacer_.PercentOf("heavy"), 0);
+  // Of a tenth of it, 1.4 ms.
+  asked_ = 0.1;
+  Observe(seconds(1), milliseconds(12), {{"heavy", 0}});
+  EXPECT_GT(pacer_.PercentOf("heavy"), 0);
+}
+
 TEST_F(PacerTest, KnownCulpritIsNotGivenBackOverTheTarget) {
   Observe(seconds(3), milliseconds(40), {{"heavy", 0.5}});
   ASSERT_EQ(pacer_.PercentOf("heavy"), 0);
