Hold a new filler to its image's pace at once

Cause: a filler begins at full speed, and a VM where its image is held back first slowed it at the next look, up to a quarter of a second later; in a row of starts each brought such a burst. Change: the executor orders the image's pace when the start is answered.

Test: NewFillerIsHeldToThePaceOfItsImageAtOnce (no order before).

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -167,6 +167,9 @@
   // still use of the disturbance that serving tasks bear, and what is left of
   // the processors. The last ones rest rather than slow the first.
   void PaceInOrder(std::vector<RunRef> fillers, int64_t free_cpu);
+  // Holds a filler that has just begun to the pace that its image has here: it
+  // begins at full speed, and the next look is up to a quarter of a second off.
+  void PaceNewFiller(const RunRef& run);
   void OrderPace(const RunRef& run, int percent);
   // One tail for each serving image, the worst: its tasks on a VM share fate.
   void ReportPressure(const std::vector<ServingSample>& serving,
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -76,6 +76,7 @@
   switch (reply.verdict) {
     case RunnerVerdict::kDone:
       orders_.erase(it);
+      PaceNewFiller(run);
       return;
     case RunnerVerdict::kNoAnswer:
       ++counts_.unanswered;
--- a/beamhill/executor/executor_pacing.cc
+++ b/beamhill/executor/executor_pacing.cc
@@ -96,6 +96,13 @@
   }
 }
 
+void Executor::PaceNewFiller(const RunRef& run) {
+  const auto it = paced_.find(run);
+  if (it == paced_.end() || !it->second.traits.fills) return;
+  const int percent = pacer_.PercentOf(it->second.traits.image);
+  if (percent < it->second.percent) OrderPace(run, percent);
+}
+
 void Executor::OrderPace(const RunRef& run, int percent) {
   paced_[run].percent = percent;
   ++counts_.paces;
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -388,5 +388,28 @@
   EXPECT_FALSE(Sent<VmPressure>().empty());
 }
 
+// It begins at full speed, and until the next look nobody would hold it.
+TEST_F(ExecutorTest, NewFillerIsHeldToThePaceOfItsImageAtOnce) {
+  Register("life-1");
+  Attach(1);
+  const RunRef serving{{"w", 0, 0, 1}, 1};
+  Start(kRun, 1, {}, /*fills=*/true);
+  Start(serving, 1, milliseconds(20));
+  for (auto& [call, done] : starts_) done({RunnerVerdict::kDone, std::nullopt});
+  starts_.clear();
+  for (int i = 0; i < 4; ++i) {
+    Pass(milliseconds(300));
+    AnswerLook({{kRun, 50, 4000}, {serving, 100, 45}});
+  }
+  paces_.clear();
+  const RunRef fresh{{"fresh", 0, 0, 0}, 1};
+  Start(fresh, 1, {}, /*fills=*/true);
+  ASSERT_THAT(starts_, SizeIs(1));
+  starts_[0].second({RunnerVerdict::kDone, std::nullopt});
+  ASSERT_THAT(paces_, SizeIs(1));
+  EXPECT_EQ(paces_[0].first.run, fresh);
+  EXPECT_LT(paces_[0].first.percent, 50);
+}
+
 }  // namespace
 }  // namespace beamhill
