Rest all fillers of a VM before harm counts, whatever is known

Cause: fillers that pass for harmless were spared for 2.2 s and then cut in steps, 3.4 s in all; and one sample under the mark began the count anew. With wrong weights and rough samples a target may be overrun for 4 s beside fillers that work (HARM). Change: an image's overrun counts from its first sample over the target and ends after 0.55 s without one; after 2 s all fillers rest for 1.4 s. If that does not bring the tail down it is the service's own load, and the known harmless ones go on until the next such test.

--- a/beamhill/executor/pacer.cc
+++ b/beamhill/executor/pacer.cc
@@ -22,10 +22,18 @@
 // for the cause, for so long.
 constexpr double kExplainsPart = 0.12;
 constexpr Duration kTrustWeights = std::chrono::milliseconds(900);
-// An image is harmless if at this share of a VM it explains nothing. It is
-// spared for so long; the users count harm after 4 s.
+// An image is harmless if at this share of a VM it explains nothing.
 constexpr double kUsualShare = 0.2;
-constexpr Duration kSpareHarmless = std::chrono::milliseconds(2200);
+// Once a tail has been over its target for so long, all fillers of the VM rest,
+// whatever is known of them: what is known may be wrong, and the users count
+// harm after 4 s. A sample trails the tail by up to a second.
+constexpr Duration kRestAfter = std::chrono::milliseconds(2000);
+// A rest that has not brought the tail down by its end was not called for; it
+// is tried again each such period, as long as the tail stays up.
+constexpr Duration kRestPeriod = kRestAfter + std::chrono::milliseconds(1400);
+// An overrun has ended when no sample was over for so long: two samples, as
+// single ones are rough.
+constexpr Duration kClearFor = std::chrono::milliseconds(550);
 constexpr double kKeepOver = 0.35;
 constexpr double kKeepNear = 0.65;
 
@@ -57,17 +65,16 @@
   }
   if (!over.empty() && !over_) over_since_ = now;
   over_ = !over.empty();
-  if (over_ && now - cut_at_ >= kCutPause) {
-    if (now - over_since_ >= kTrustWeights) {
-      // Blaming has not helped.
-      const bool spare = now - over_since_ < kSpareHarmless;
-      for (const auto& [image, share] : filling) {
-        if (spare && KnownHarmless(over, image)) continue;
-        CutImage(image, kKeepOver);
-      }
-    } else {
-      Cut(over, filling);
-    }
+  const std::optional<Duration> overrun = LongestOverrun(over, now);
+  const bool was_resting = resting_;
+  resting_ = overrun && *overrun % kRestPeriod >= kRestAfter;
+  if (resting_) {
+    for (const auto& [image, share] : filling) percents_[image] = 0;
+    cut_at_ = now;
+  } else if (was_resting && overrun) {
+    SpareHarmless(over, filling);
+  } else if (!over.empty() && now - cut_at_ >= kCutPause) {
+    Restrain(over, filling, now - over_since_);
     cut_at_ = now;
   } else if (worst < kGiveBelow && now - given_at_ >= kGivePause &&
              now - cut_at_ >= kCutPause) {
@@ -76,6 +83,46 @@
   }
 }
 
+std::optional<Duration> Pacer::LongestOverrun(
+    const std::vector<ServingSample>& over, TimePoint now) {
+  for (const ServingSample& sample : over) {
+    if (RatioOf(sample) <= 1) continue;
+    const auto entry = overruns_.emplace(sample.image, Overrun{now, now}).first;
+    entry->second.last_over = now;
+  }
+  std::optional<Duration> longest;
+  for (auto it = overruns_.begin(); it != overruns_.end();) {
+    const Overrun& overrun = it->second;
+    if (now - overrun.last_over >= kClearFor) {
+      it = overruns_.erase(it);
+      continue;
+    }
+    const Duration lasted = overrun.last_over - overrun.since;
+    longest = std::max(longest.value_or(lasted), lasted);
+    ++it;
+  }
+  return longest;
+}
+
+// The tail is as high with all fillers at rest: it is the service's own load.
+void Pacer::SpareHarmless(const std::vector<ServingSample>& over,
+                          const FillingShares& filling) {
+  for (const auto& [image, share] : filling) {
+    if (KnownHarmless(over, image)) percents_[image] = kWholePercent;
+  }
+}
+
+void Pacer::Restrain(const std::vector<ServingSample>& over,
+                     const FillingShares& filling, Duration near_for) {
+  if (near_for < kTrustWeights) {
+    Cut(over, filling);
+    return;
+  }
+  for (const auto& [image, share] : filling) {
+    if (!KnownHarmless(over, image)) CutImage(image, kKeepOver);
+  }
+}
+
 bool Pacer::KnownHarmless(const std::vector<ServingSample>& over,
                           const std::string& image) const {
   return std::all_of(over.begin(), over.end(), [&](const auto& sample) {
--- a/beamhill/executor/pacer.h
+++ b/beamhill/executor/pacer.h
@@ -13,6 +13,7 @@
 #define BEAMHILL_EXECUTOR_PACER_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -49,8 +50,26 @@
   int PercentOf(const std::string& image) const;
 
  private:
+  // A serving image that is over its target.
+  struct Overrun {
+    TimePoint since{};
+    TimePoint last_over{};
+  };
+
   double WeightMillis(const std::string& serving,
                       const std::string& filling) const;
+  // Follows which images are over their targets; returns for how long the one
+  // has been that is so longest, or nothing.
+  std::optional<Duration> LongestOverrun(const std::vector<ServingSample>& over,
+                                         TimePoint now);
+  // After a rest: gives fillers that are known to be harmless their pace back.
+  void SpareHarmless(const std::vector<ServingSample>& over,
+                     const FillingShares& filling);
+  // Cuts some fillers when a tail has been near its target or over it for so
+  // long: at first those that are known to disturb; if that has
+  // not helped, all that are not known to be harmless.
+  void Restrain(const std::vector<ServingSample>& over,
+                const FillingShares& filling, Duration near_for);
   void Cut(const std::vector<ServingSample>& over,
            const FillingShares& filling);
   void Give(const std::vector<ServingSample>& serving,
@@ -61,10 +80,12 @@
 
   Weights weights_;
   std::map<std::string, int> percents_;
+  bool over_ = false;  // Or near it: some fillers are cut.
   TimePoint over_since_{};
+  std::map<std::string, Overrun> overruns_;  // By serving image.
+  bool resting_ = false;                     // All fillers are, for a test.
   TimePoint cut_at_{};
   TimePoint given_at_{};
-  bool over_ = false;
 };
 
 }  // namespace beamhill
--- a/beamhill/executor/pacer_test.cc
+++ b/beamhill/executor/pacer_test.cc
@@ -71,6 +71,29 @@
   EXPECT_LT(pacer_.PercentOf("light"), 50);
 }
 
+// What is known may be wrong and single samples are rough: the one filler here
+// passes for harmless, and every third sample looks fine.
+TEST_F(PacerTest, RestsAllFillersBeforeHarmCountsWhateverIsKnown) {
+  pacer_.SetWeights({{{"web", "light"}, milliseconds(1)}});
+  for (int i = 0; i < 3; ++i) {
+    Observe(milliseconds(500), milliseconds(25), {{"light", 0.3}});
+    Observe(milliseconds(250), milliseconds(17), {{"light", 0.3}});
+  }
+  Observe(milliseconds(250), milliseconds(25), {{"light", 0.3}});
+  EXPECT_EQ(pacer_.PercentOf("light"), 0);
+}
+
+// A rest that changes nothing shows that the load is the service's own.
+TEST_F(PacerTest, HarmlessFillersWorkOnWhereARestDidNotHelp) {
+  pacer_.SetWeights({{{"web", "light"}, milliseconds(1)},
+                     {{"web", "heavy"}, milliseconds(100)}});
+  Observe(milliseconds(2500), milliseconds(25), {{"light", 0}, {"heavy", 0}});
+  EXPECT_EQ(pacer_.PercentOf("light"), 0);
+  Observe(milliseconds(1250), milliseconds(25), {{"light", 0}, {"heavy", 0}});
+  EXPECT_EQ(pacer_.PercentOf("light"), 100);
+  EXPECT_EQ(pacer_.PercentOf("heavy"), 0);
+}
+
 TEST_F(PacerTest, GivesByWhatAllTasksOfAnImageAskFor) {
   Observe(seconds(3), milliseconds(40), {{"heavy", 0.5}});
   ASSERT_EQ(pacer_.PercentOf("heavy"), 0);
