Order a pace again whose answer was lost, however low it is

Cause: found by reading. A pace order without an answer marks the filler's pace as unknown (-1), and a new pace of 1 to 3 % differed from that by less than the least change that is ordered: the filler could go on at full speed unseen.

--- a/beamhill/executor/executor_pacing.cc
+++ b/beamhill/executor/executor_pacing.cc
@@ -91,7 +91,8 @@
     const auto percent = static_cast<int>(granted * kWholePercent / cpu);
     const int change = std::abs(paced.percent - percent);
     const bool worth_it =
-        change >= kLeastPaceChange || percent == 0 || percent == kWholePercent;
+        change >= kLeastPaceChange || percent == 0 ||
+        percent == kWholePercent || paced.percent == kUnknownPercent;
     if (change > 0 && worth_it) OrderPace(run, percent);
   }
 }
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -388,6 +388,27 @@
   EXPECT_FALSE(Sent<VmPressure>().empty());
 }
 
+// It may work at full speed: an order that was lost is given again, however
+// slow the filler is to be.
+TEST_F(ExecutorTest, UnansweredPaceIsOrderedAgain) {
+  Register("life-1");
+  Attach(1);
+  Start(kRun, 1, {}, /*fills=*/true);
+  starts_[0].second({RunnerVerdict::kDone, std::nullopt});
+  // Of eight cores another task leaves 40 thousandths: 2 % of two cores.
+  const std::vector<RunningRun> running = {
+      {kRun, 100, 0}, {{{"other", 0, 0, 0}, 1}, 100, 7960}};
+  Pass(milliseconds(300));
+  AnswerLook(running);
+  ASSERT_THAT(paces_, SizeIs(1));
+  EXPECT_EQ(paces_[0].first.percent, 2);
+  paces_[0].second({RunnerVerdict::kNoAnswer, std::nullopt});
+  Pass(milliseconds(300));
+  AnswerLook(running);
+  ASSERT_THAT(paces_, SizeIs(2));
+  EXPECT_EQ(paces_[1].first.percent, 2);
+}
+
 // It begins at full speed, and until the next look nobody would hold it.
 TEST_F(ExecutorTest, NewFillerIsHeldToThePaceOfItsImageAtOnce) {
   Register("life-1");
