Count the cores of a VM once in the layout's worth

Cause: the worth of a VM added up demand over usable cores for each filling image times the same free cores, so that cores counted once for each image and an image that may work nowhere made any VM worth its whole demand times that VM's cores. Change: the parts are normalised to one, so that a core which every filler may use is worth one core.

--- a/beamhill/placement/serving_layout.cc
+++ b/beamhill/placement/serving_layout.cc
@@ -29,9 +29,14 @@
       if ((allowed >> i & 1) != 0) usable[i] += std::max(vm.free_cores, 0.0);
     }
   }
+  double total = 0;
   for (size_t i = 0; i < ranked.size(); ++i) {
-    layout.scarcity_.push_back(ranked[i].first /
-                               std::max(usable[i], kLeastCores));
+    const double scarcity = ranked[i].first / std::max(usable[i], kLeastCores);
+    layout.importance_.push_back(scarcity);
+    total += scarcity;
+  }
+  if (total > 0) {
+    for (double& importance : layout.importance_) importance /= total;
   }
   return layout;
 }
@@ -60,8 +65,8 @@
   if (free_cores <= 0) return 0;
   const Mask allowed = AllowedBeside(serving);
   double worth = 0;
-  for (size_t i = 0; i < scarcity_.size(); ++i) {
-    if ((allowed >> i & 1) != 0) worth += scarcity_[i];
+  for (size_t i = 0; i < importance_.size(); ++i) {
+    if ((allowed >> i & 1) != 0) worth += importance_[i];
   }
   return worth * free_cores;
 }
--- a/beamhill/placement/serving_layout.h
+++ b/beamhill/placement/serving_layout.h
@@ -1,9 +1,9 @@
 // What the processor time that serving tasks leave on a VM is worth to tasks
 // that fill, by which images serve there.
 //
-// Pure. A filling image can't work beside a serving image that it harms. The
-// time of a VM is worth more the more filling images may use it, and the
-// scarcer places for them are.
+// Pure. A filling image can't work beside a serving image that it harms. A core
+// that any filler may use is worth one core; one that only some may use counts
+// less, the more so the scarcer the places for the others are.
 //
 //   ServingLayout layout = ServingLayout::Create(demands, harms, vms);
 //   double lost = layout.Worth({"a"}, 8) - layout.Worth({"a", "b"}, 6);
@@ -38,7 +38,7 @@
   static ServingLayout Create(const Demands& demands, const HarmHook& harms,
                               const std::vector<Vm>& vms);
 
-  // In cores of demand that such a VM meets.
+  // In cores, at most `free_cores`.
   double Worth(const Images& serving, double free_cores) const;
 
  private:
@@ -49,8 +49,9 @@
   void LearnHarms(const Images& serving, const HarmHook& harms);
 
   std::vector<std::string> filling_;
-  // Demand over the cores that may be used for it, by filling image.
-  std::vector<double> scarcity_;
+  // Part of the worth of a core that each filling image makes up: its demand
+  // over the cores that it may use, of the sum of these.
+  std::vector<double> importance_;
   std::map<std::string, Mask> harmed_by_;  // By serving image.
 };
 
