Let serving tasks join their like on emptier VMs

The price of mixing (0.4) lost against differences in load of up to 1. Change: it is 2.

Test: ServingTaskJoinsItsLikeOnAnEmptierVm.

--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -18,7 +18,7 @@
 // What it costs to bring a serving image to a VM where nothing serves, and to
 // one where only others do; against differences in load of at most 1.
 constexpr double kNewToServing = 3;
-constexpr double kMixing = 0.4;
+constexpr double kMixing = 2;
 // And for each core that fillers lose by it, once that is known.
 constexpr double kLayoutCost = 2;
 // What it costs to be in another rack than the data, and on the VM where the
--- a/beamhill/dispatch/dispatch_placement_test.cc
+++ b/beamhill/dispatch/dispatch_placement_test.cc
@@ -92,6 +92,28 @@
   EXPECT_THAT(Tick().starts, IsEmpty());
 }
 
+// Each image that serves on a VM keeps the fillers away that it suffers from.
+TEST_F(DispatcherTest, ServingTaskJoinsItsLikeOnAnEmptierVm) {
+  Take({});
+  const auto serve = [&](const std::string& id, const std::string& image,
+                         int64_t cpu) {
+    Workflow serving = OneStep(id, 1, 2);
+    serving.steps[0].each = {cpu, 1000, 0};
+    serving.steps[0].image = image;
+    serving.steps[0].tail_target = milliseconds(20);
+    serving.steps[0].long_running = true;
+    dispatcher_->AddWorkflow(serving, std::nullopt, now_);
+    return Tick().starts.at(0);
+  };
+  Link("vm-1");
+  const auto first = serve("first", "web", 1000);
+  dispatcher_->OnLinkDown("vm-1");
+  Link("vm-2");
+  ASSERT_EQ(serve("other", "chat", 6000).first, "vm-2");
+  Link("vm-1", {first.second});
+  EXPECT_EQ(serve("second", "web", 1000).first, "vm-1");
+}
+
 class DispatcherAdviceTest : public DispatcherTest {
  protected:
   void AddRestricted() {
