Let idle work start though other work of its image waits

After all schedulers had lost power the next owner had two workflows of one image that harms every VM. The first in the order had a run and waited for a calm place for the others; Choose remembers within a tick that its image found no room, and passed over the second, which had nothing at work and was to go anywhere. Ruled out: an unaccounted VM (others of the same epoch started), memory. Change: work that has idled long is not held up by that memory.

Test: IdleWorkIsNotHeldUpByOtherWorkOfItsImage (no start of the second before).

--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -54,6 +54,10 @@
   return it == vm.paces.end() ? kWholePace : it->second;
 }
 
+bool Dispatcher::HasIdledLong(const Job& job, TimePoint now) {
+  return job.idle_since && now - *job.idle_since >= kIdleLimit;
+}
+
 bool Dispatcher::HasRoomToFill(const Vm& vm, const Job& job,
                                const WorkflowStep& filler,
                                TimePoint now) const {
@@ -62,7 +66,7 @@
   // What comes before others may push them aside, but only so many.
   const double pushed = kPushedAside * FreeCores(vm) * kMillisOfCore;
   if (FreeCpuFor(vm, kLastOrder) + pushed < asked) return false;
-  if (job.idle_since && now - *job.idle_since >= kIdleLimit) return true;
+  if (HasIdledLong(job, now)) return true;
   const bool starved = PaceOf(vm, filler.image) < kStarvedPercent;
   return !starved && WorstTailRatio(vm, filler) < kForbiddenRatio;
 }
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -278,7 +278,9 @@
   const bool advised = workflow.policy.needs_advice;
   const bool simple =
       step.max_per_vm == 0 && step.required_label.empty() && !advised && !rack;
-  if (simple && HadNoRoom(workflow.service, step)) return nullptr;
+  // Others may have been kept away from places that are open to this one.
+  const bool had_no_room = HadNoRoom(workflow.service, step);
+  if (simple && had_no_room && !HasIdledLong(job, now)) return nullptr;
   Vm* best = nullptr;
   double best_cost = 0;
   for (auto& [vm_name, vm] : vms_) {
--- a/beamhill/dispatch/dispatch_pressure_test.cc
+++ b/beamhill/dispatch/dispatch_pressure_test.cc
@@ -81,6 +81,28 @@
   EXPECT_EQ(starts[0].first, other);
 }
 
+// Found on bfc-ordres scale-2 seed 33 (LOST): a workflow of the same image that
+// had a run and waited for a calm place for its others came first, and its want
+// of room was taken for that of all.
+TEST_F(DispatcherPressureTest, IdleWorkIsNotHeldUpByOtherWorkOfItsImage) {
+  const std::string calm_vm = ServeCalmAndTouchy();
+  const std::string other = calm_vm == "vm-1" ? "vm-2" : "vm-1";
+  Teach(calm_vm);
+  dispatcher_->OnLinkDown(calm_vm);
+  for (const char* id : {"small", "large"}) {
+    Workflow filling = Filler();
+    filling.id = id;
+    filling.policy.stretch = 100;  // Neither gets late: the small one is first.
+    filling.steps[0].tasks = id == std::string("small") ? 3 : 5;
+    filling.steps[0].each.cpu_millis = 1750;
+    dispatcher_->AddWorkflow(filling, std::nullopt, now_);
+    Pass(std::chrono::seconds(3), {other});
+    const auto starts = Take().starts;
+    ASSERT_THAT(starts, SizeIs(1));
+    EXPECT_EQ(starts[0].second.task.workflow, id);
+  }
+}
+
 TEST_F(DispatcherPressureTest, NextOwnerRecallsWhatWasLearned) {
   Teach(ServeCalmAndTouchy());
   const PressureRecord learned = dispatcher_->LearnedPressure();
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -344,6 +344,9 @@
   // thousandths of a core. They go to fillers in their order; those before it
   // count by what their pace lets them use.
   double FreeCpuFor(const Vm& vm, double yield_order) const;
+  // Whether nothing of the workflow has been at work for so long that it gets
+  // a run even in a harmful place.
+  static bool HasIdledLong(const Job& job, TimePoint now);
   // Whether the processor time that is left over on the VM is enough for the
   // filler, and whether it is expected to be let work. The first run of a
   // workflow that has waited for long goes anywhere.
