Keep fillers away where a tail is expected above 0.95 of its target

Hypothesis: executors cut fillers from 0.9 of a target on, so that one brought to where 1.15 is expected is held back there after a burst of harm. Change: the mark is 0.95.

Also the whole pace, 100 %, is named once for pacer and executor.

--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -17,8 +17,9 @@
 constexpr int32_t kStarvedPercent = 45;
 constexpr Duration kStarvedFor = std::chrono::milliseconds(700);
 // A filler is not brought to where it would bring a serving image above this
-// part of its target: it would be held back there, after a burst of harm.
-constexpr double kForbiddenRatio = 1.15;
+// part of its target: executors cut fillers from about there on, so that it
+// would be held back after a burst of harm.
+constexpr double kForbiddenRatio = 0.95;
 // One that saves no progress is moved, too, once it has had next to nothing for
 // so long: longer than most tasks take.
 constexpr Duration kHopelessAfter = std::chrono::milliseconds(2500);
--- a/beamhill/executor/executor_pacing.cc
+++ b/beamhill/executor/executor_pacing.cc
@@ -17,7 +17,6 @@
 // Share of what serving tasks ask for that they use, on average over their
 // swings; from the workloads' sheets.
 constexpr int64_t kServingUsePercent = 50;
-constexpr int kWholePercent = 100;
 // What a filler works at after a pace order without an answer.
 constexpr int kUnknownPercent = -1;
 // A sample covers half a second; more often would count it twice.
@@ -90,9 +89,9 @@
     free_cpu -= granted;
     const auto percent = static_cast<int>(granted * kWholePercent / cpu);
     const int change = std::abs(paced.percent - percent);
-    const bool worth_it =
-        change >= kLeastPaceChange || percent == 0 ||
-        percent == kWholePercent || paced.percent == kUnknownPercent;
+    const bool worth_it = change >= kLeastPaceChange || percent == 0 ||
+                          percent == kWholePercent ||
+                          paced.percent == kUnknownPercent;
     if (change > 0 && worth_it) OrderPace(run, percent);
   }
 }
--- a/beamhill/executor/pacer.cc
+++ b/beamhill/executor/pacer.cc
@@ -12,7 +12,6 @@
 // A measurement covers half a second, so a change shows fully only then.
 constexpr Duration kCutPause = std::chrono::milliseconds(400);
 constexpr Duration kGivePause = std::chrono::milliseconds(300);
-constexpr int kWholePercent = 100;
 constexpr int kGiveStep = 12;
 // Below this share a filler is stopped altogether.
 constexpr int kLeastPercent = 8;
--- a/beamhill/executor/pacer.h
+++ b/beamhill/executor/pacer.h
@@ -22,6 +22,9 @@
 
 namespace beamhill {
 
+// The pace of a filler that nothing holds back.
+inline constexpr int kWholePercent = 100;
+
 // One serving task's tail latency over the last half second.
 struct ServingSample {
   std::string image;
