Tell where the time of workflows went, from the log

tools/workflow-times reads the schedulers' JSON lines: for each workflow its total, how long nothing of it ran, and its runs moved, failed and lost; for the on-call engineer, and for finding what binds. No behaviour changed; not measured.

--- /dev/null
+++ b/tools/workflow_times_test.py
@@ -0,0 +1,59 @@
+"""Tests of tools/workflow-times: python3 tools/workflow_times_test.py."""
+import importlib.machinery
+import importlib.util
+import json
+import pathlib
+import unittest
+
+PATH = str(pathlib.Path(__file__).parent / "workflow-times")
+LOADER = importlib.machinery.SourceFileLoader("workflow_times", PATH)
+SPEC = importlib.util.spec_from_loader("workflow_times", LOADER)
+workflow_times = importlib.util.module_from_spec(SPEC)
+LOADER.exec_module(workflow_times)
+
+
+def line(second, event, detail, request="w", prefix=""):
+    fields = {"ts": f"2026-01-01T00:00:{second:06.3f}Z", "event": event}
+    return prefix + json.dumps({**fields, "request": request, "detail": detail})
+
+
+class WorkflowTimesTest(unittest.TestCase):
+    def read(self, *lines):
+        workflows, last = workflow_times.read(lines)
+        return workflow_times.row("w", workflows["w"], last)
+
+    def test_tells_waiting_from_running(self):
+        row = self.read(
+            line(0, "workflow_added", "new here, 1x2000m+fills"),
+            line(3, "run_ordered", "w.0.0.0 run 1 on vm-1, used 0 of 8000"),
+            line(5, "run_moved", "w.0.0.0 run 1 off vm-1: too little"),
+            line(6, "run_ended", "w.0.0.0 run 1 on vm-1: stopped"),
+            line(8, "run_ordered", "w.0.0.0 run 2 on vm-2, used 0 of 8000"),
+            line(9.5, "run_ended", "w.0.0.0 run 2 on vm-2: done"),
+            line(9.5, "workflow_over", "completed"),
+        )
+        self.assertIn("total 9.5 waited 5.0 runs 2 moved 1 failed 0", row)
+        self.assertIn("longest 3.0 completed", row)
+
+    def test_what_a_later_owner_does_not_find_has_waited(self):
+        row = self.read(
+            line(0, "workflow_added", "new here, 1x2000m"),
+            line(0, "run_ordered", "w.0.0.0 run 1 on vm-1, used 0 of 8000"),
+            line(4, "workflow_added", "inherited, 1x2000m"),
+            line(10, "vm_lapsed", "vm-1", request=""),
+        )
+        self.assertIn("total 10.0 waited 6.0 runs 1", row)
+        self.assertIn("open", row)
+
+    def test_passes_over_what_is_no_log_line(self):
+        row = self.read(
+            "vm boots",
+            line(1, "workflow_added", "new here, 1x2000m", prefix="1.0 vm-1 "),
+            '{"ts": "cut off',
+            line(2, "run_let_go", "w.0.0.0 run 9 on vm-1: lapsed"),
+        )
+        self.assertIn("total 1.0 waited 1.0 runs 0 moved 0 failed 0 let_go 1", row)
+
+
+if __name__ == "__main__":
+    unittest.main()
