--- a/beamhill/dispatch/dispatch_pressure_test.cc
+++ b/beamhill/dispatch/dispatch_pressure_test.cc
@@ -43,6 +43,15 @@
     }
   }
 
+  // What is known of filler "f" is that it harms the only VM that is linked;
+  // returns that VM.
+  std::string LeaveOnlyTheTouchyVm() {
+    const std::string calm_vm = ServeCalmAndTouchy();
+    Teach(calm_vm);
+    dispatcher_->OnLinkDown(calm_vm);
+    return calm_vm == "vm-1" ? "vm-2" : "vm-1";
+  }
+
   static Workflow Filler() {
     Workflow filling = OneStep("f", 1, 2);
     filling.steps[0].fills = true;
@@ -65,10 +74,7 @@
 // of harm; so even late work is started there by single runs alone, and only
 // while nothing else of it runs.
 TEST_F(DispatcherPressureTest, HarmfulPlaceIsForTheOneRunThatKeepsWorkGoing) {
-  const std::string calm_vm = ServeCalmAndTouchy();
-  const std::string other = calm_vm == "vm-1" ? "vm-2" : "vm-1";
-  Teach(calm_vm);
-  dispatcher_->OnLinkDown(calm_vm);
+  const std::string other = LeaveOnlyTheTouchyVm();
   Workflow filling = Filler();
   filling.steps[0].tasks = 3;
   filling.steps[0].each.cpu_millis = 1800;  // Two have room.
@@ -85,10 +91,7 @@
 // had a run and waited for a calm place for its others came first, and its want
 // of room was taken for that of all.
 TEST_F(DispatcherPressureTest, IdleWorkIsNotHeldUpByOtherWorkOfItsImage) {
-  const std::string calm_vm = ServeCalmAndTouchy();
-  const std::string other = calm_vm == "vm-1" ? "vm-2" : "vm-1";
-  Teach(calm_vm);
-  dispatcher_->OnLinkDown(calm_vm);
+  const std::string other = LeaveOnlyTheTouchyVm();
   for (const char* id : {"small", "large"}) {
     Workflow filling = Filler();
     filling.id = id;
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -85,6 +85,22 @@
     executor_->OnMessage(kLink, starts);
   }
 
+  // For 1.2 s, kRun fills beside a serving task that is far over its target.
+  void FillBesideASufferingService() {
+    Register("life-1");
+    Attach(1);
+    const RunRef serving{{"w", 0, 0, 1}, 1};
+    Start(kRun, 1, {}, /*fills=*/true);
+    Start(serving, 1, milliseconds(20));
+    for (auto& [call, done] : std::exchange(starts_, {})) {
+      done({RunnerVerdict::kDone, std::nullopt});
+    }
+    for (int i = 0; i < 4; ++i) {
+      Pass(milliseconds(300));
+      AnswerLook({{kRun, 50, 4000}, {serving, 100, 45}});
+    }
+  }
+
   template <typename T>
   std::vector<T> Sent() {
     std::vector<T> found;
@@ -372,16 +388,7 @@
 }
 
 TEST_F(ExecutorTest, FillerIsPacedWhenItsNeighbourSuffers) {
-  Register("life-1");
-  Attach(1);
-  const RunRef serving{{"w", 0, 0, 1}, 1};
-  Start(kRun, 1, {}, /*fills=*/true);
-  Start(serving, 1, milliseconds(20));
-  for (auto& [call, done] : starts_) done({RunnerVerdict::kDone, std::nullopt});
-  for (int i = 0; i < 4; ++i) {
-    Pass(milliseconds(300));
-    AnswerLook({{kRun, 50, 4000}, {serving, 100, 45}});
-  }
+  FillBesideASufferingService();
   ASSERT_FALSE(paces_.empty());
   EXPECT_EQ(paces_[0].first.run, kRun);
   EXPECT_LT(paces_[0].first.percent, 100);
@@ -411,17 +418,7 @@
 
 // It begins at full speed, and until the next look nobody would hold it.
 TEST_F(ExecutorTest, NewFillerIsHeldToThePaceOfItsImageAtOnce) {
-  Register("life-1");
-  Attach(1);
-  const RunRef serving{{"w", 0, 0, 1}, 1};
-  Start(kRun, 1, {}, /*fills=*/true);
-  Start(serving, 1, milliseconds(20));
-  for (auto& [call, done] : starts_) done({RunnerVerdict::kDone, std::nullopt});
-  starts_.clear();
-  for (int i = 0; i < 4; ++i) {
-    Pass(milliseconds(300));
-    AnswerLook({{kRun, 50, 4000}, {serving, 100, 45}});
-  }
+  FillBesideASufferingService();
   paces_.clear();
   const RunRef fresh{{"fresh", 0, 0, 0}, 1};
   Start(fresh, 1, {}, /*fills=*/true);
--- a/beamhill/executor/pacer.h
+++ b/beamhill/executor/pacer.h
@@ -69,8 +69,8 @@
   void SpareHarmless(const std::vector<ServingSample>& over,
                      const FillingShares& filling);
   // Cuts some fillers when a tail has been near its target or over it for so
-  // long: at first those that are known to disturb; if that has
-  // not helped, all that are not known to be harmless.
+  // long: at first those that are known to disturb; if that has not helped, all
+  // that are not known to be harmless.
   void Restrain(const std::vector<ServingSample>& over,
                 const FillingShares& filling, Duration near_for);
   void Cut(const std::vector<ServingSample>& over,
