Cut what ticks, reports and learned weights cost the owner

Change: what a VM's fillers may use, and the expected tail of an image there, are worked out when first asked for and kept until the VM or what was learned changes; models are solved four times a second; a VM hears of the images that stand there, before the start of a new one, and again only when a weight has moved by an eighth.

--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -3,6 +3,7 @@
 // which of them move.
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -40,13 +41,34 @@
 
 }  // namespace
 
-double Dispatcher::FreeCpuFor(const Vm& vm, double yield_order) const {
-  double filling = 0;
+const Dispatcher::FillerQueue& Dispatcher::FillerQueueOf(const Vm& vm) {
+  FillerQueue& queue = vm.filler_queue;
+  if (queue.known) return queue;
+  queue.known = true;
+  queue.sums.clear();
   for (const auto& [run, held] : vm.held) {
-    if (held.filling_cpu == 0 || held.yield_order > yield_order) continue;
-    filling += static_cast<double>(held.filling_cpu) * PaceOf(vm, held.image) /
-               kWholePace;
+    if (held.filling_cpu == 0) continue;
+    const double cpu = static_cast<double>(held.filling_cpu) *
+                       PaceOf(vm, held.image) / kWholePace;
+    queue.sums.emplace_back(held.yield_order, cpu);
   }
+  std::sort(queue.sums.begin(), queue.sums.end());
+  double sum = 0;
+  for (auto& entry : queue.sums) sum = entry.second += sum;
+  return queue;
+}
+
+void Dispatcher::ForgetDerived(Vm& vm) {
+  vm.filler_queue.known = false;
+  vm.ratios.clear();
+}
+
+double Dispatcher::FreeCpuFor(const Vm& vm, double yield_order) const {
+  const auto& sums = FillerQueueOf(vm).sums;
+  const auto after = std::upper_bound(
+      sums.begin(), sums.end(), yield_order,
+      [](double order, const auto& entry) { return order < entry.first; });
+  const double filling = after == sums.begin() ? 0 : std::prev(after)->second;
   return FreeCores(vm) * kMillisOfCore - filling;
 }
 
@@ -115,12 +137,8 @@
 }
 
 void Dispatcher::RefreshIdle(TimePoint now) {
-  std::set<std::string> at_work;
-  for (const auto& [name, vm] : vms_) {
-    for (const auto& [run, held] : vm.held) at_work.insert(run.task.workflow);
-  }
   for (const auto& [id, job] : jobs_) {
-    if (job->progress.over() || at_work.count(id) > 0) {
+    if (job->progress.over() || job->held_runs > 0) {
       job->idle_since.reset();
     } else if (!job->idle_since) {
       job->idle_since = now;
@@ -131,6 +149,7 @@
 void Dispatcher::RefreshOrder(TimePoint now, UnixMillis unix_now) {
   if (now - order_refreshed_at_ < kOrderInterval) return;
   order_refreshed_at_ = now;
+  RefitPressure();
   RefreshIdle(now);
   for (const auto& [id, job] : jobs_) {
     if (!job->progress.over()) SetYieldOrder(*job, now, unix_now);
@@ -143,6 +162,7 @@
       const double moved = std::abs(job->yield_order - held.yield_order);
       if (moved <= kOrderSlack * held.yield_order) continue;
       held.yield_order = job->yield_order;
+      vm.filler_queue.known = false;
       const WorkflowStep& step = job->progress.workflow().steps[run.task.step];
       changed.runs.push_back({run, TraitsOf(*job, step)});
     }
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -167,7 +167,7 @@
 }
 
 std::vector<Dispatcher::Reservation> Dispatcher::ReserveGang(
-    const Job& job, const WorkflowProgress::OpenStep& open, uint64_t run,
+    Job& job, const WorkflowProgress::OpenStep& open, uint64_t run,
     const std::optional<std::string>& rack, TimePoint now) {
   const Workflow& workflow = job.progress.workflow();
   const WorkflowStep& step = workflow.steps[open.step];
@@ -187,7 +187,7 @@
 }
 
 std::vector<Dispatcher::Reservation> Dispatcher::ReserveGangTogether(
-    const Job& job, const WorkflowProgress::OpenStep& open, uint64_t run,
+    Job& job, const WorkflowProgress::OpenStep& open, uint64_t run,
     TimePoint now) {
   std::set<std::string> racks;
   for (const auto& [name, vm] : vms_) racks.insert(vm.status.rack);
@@ -200,7 +200,11 @@
 
 bool Dispatcher::Fits(const Vm& vm, const std::string& name, const Job& job,
                       const WorkflowStep& step, TimePoint now) const {
+  // What most VMs fail at comes first, and what is dear to ask comes last.
+  Resources need = step.each;
+  if (step.fills) need.cpu_millis = 0;
   const VmStatus& status = vm.status;
+  if (!(status.capacity - vm.used).Holds(need)) return false;
   if (!vm.linked || !vm.answered || !vm.leased || status.draining ||
       status.life.empty() ||
       status.service != job.progress.workflow().service) {
@@ -212,9 +216,6 @@
                 step.required_label) == status.labels.end()) {
     return false;
   }
-  Resources need = step.each;
-  if (step.fills) need.cpu_millis = 0;
-  if (!(status.capacity - vm.used).Holds(need)) return false;
   if (step.fills && !HasRoomToFill(vm, job, step, now)) return false;
   return health_.MayPlace(name, vm.held.size(), now);
 }
@@ -342,6 +343,9 @@
 
 void Dispatcher::FlushStarts() {
   for (auto& [key, starts] : std::exchange(starts_, {})) {
+    // What it knows of a new image's pace comes before the image.
+    Vm& vm = vms_[key.first];
+    if (vm.new_image) SendWeightsTo(key.first, vm);
     Send(key.first, std::move(starts));
   }
 }
--- a/beamhill/dispatch/dispatch_pressure.cc
+++ b/beamhill/dispatch/dispatch_pressure.cc
@@ -5,6 +5,37 @@
 #include "beamhill/dispatch/dispatcher.h"
 
 namespace beamhill {
+namespace {
+
+// A weight that has moved by less than this, or this part of itself, changes
+// nothing that an executor does: fillers have a tenth to a third of a VM, and
+// targets are some 20 ms.
+constexpr Duration kWeightSlack = std::chrono::milliseconds(3);
+constexpr int kWeightSlackDivisor = 8;
+
+bool SameInEffect(const PressureWeight& now, const PressureWeight& told) {
+  const Duration slack = std::max(
+      kWeightSlack, std::chrono::abs(told.per_vm) / kWeightSlackDivisor);
+  return now.serving == told.serving && now.filling == told.filling &&
+         std::chrono::abs(now.per_vm - told.per_vm) <= slack;
+}
+
+// Whether an executor that was told the one need not be told the other. Both
+// are in the order of their images; pairs that have gone don't matter.
+bool SameInEffect(const std::vector<PressureWeight>& now,
+                  const std::vector<PressureWeight>& told) {
+  auto it = told.begin();
+  for (const PressureWeight& weight : now) {
+    const auto same = [&](const PressureWeight& t) {
+      return t.serving == weight.serving && t.filling == weight.filling;
+    };
+    it = std::find_if(it, told.end(), same);
+    if (it == told.end() || !SameInEffect(weight, *it)) return false;
+  }
+  return true;
+}
+
+}  // namespace
 
 void Dispatcher::OnPressure(const std::string& vm, const VmPressure& pressure) {
   Vm& state = vms_[vm];
@@ -15,6 +46,7 @@
     loads[load.image] =
         static_cast<double>(load.cpu_millis) / static_cast<double>(whole);
   }
+  ForgetDerived(state);
   state.paces.clear();
   state.filling_cpu_in_use = 0;
   for (const FillingLoad& load : pressure.filling) {
@@ -47,21 +79,56 @@
     }
     interference_.Recall(summary);
   }
+  RefitPressure();
 }
 
 void Dispatcher::SendWeights() {
-  PressureWeights learned{options_.epoch, {}};
-  for (const auto& weight : interference_.Weights()) {
-    learned.weights.push_back({weight.serving, weight.filler, weight.per_vm});
+  for (auto& [name, vm] : vms_) {
+    if (vm.answered) SendWeightsTo(name, vm);
   }
-  if (learned.weights.empty()) return;
-  for (const auto& [name, vm] : vms_) {
-    if (vm.answered && !vm.serving.empty()) Send(name, learned);
+}
+
+std::vector<PressureWeight> Dispatcher::WeightsOn(const Vm& vm) const {
+  std::vector<PressureWeight> weights;
+  for (const auto& [serving, runs] : vm.serving) {
+    for (const auto& [filling, cpu] : vm.filling) {
+      const auto weight = interference_.WeightOf(serving, filling);
+      if (weight) weights.push_back({serving, filling, *weight});
+    }
   }
+  return weights;
+}
+
+void Dispatcher::SendWeightsTo(const std::string& name, Vm& vm) {
+  vm.new_image = false;
+  std::vector<PressureWeight> weights = WeightsOn(vm);
+  if (weights.empty() || SameInEffect(weights, vm.told)) return;
+  vm.told = weights;
+  Send(name, PressureWeights{options_.epoch, std::move(weights)});
+}
+
+void Dispatcher::RefitPressure() {
+  if (interference_.Refit()) ++interference_version_;
 }
 
 double Dispatcher::WorstTailRatio(const Vm& vm,
                                   const WorkflowStep& filler) const {
+  if (vm.serving.empty()) return 0;
+  if (vm.ratios_version != interference_version_) vm.ratios.clear();
+  vm.ratios_version = interference_version_;
+  for (const KnownRatio& known : vm.ratios) {
+    if (known.cpu_millis == filler.each.cpu_millis &&
+        known.image == filler.image) {
+      return known.ratio;
+    }
+  }
+  const double ratio = PredictTailRatio(vm, filler);
+  vm.ratios.push_back({filler.each.cpu_millis, filler.image, ratio});
+  return ratio;
+}
+
+double Dispatcher::PredictTailRatio(const Vm& vm,
+                                    const WorkflowStep& filler) const {
   const auto whole =
       static_cast<double>(std::max<int64_t>(vm.status.capacity.cpu_millis, 1));
   ClassLoads loads;
--- a/beamhill/dispatch/dispatch_pressure_test.cc
+++ b/beamhill/dispatch/dispatch_pressure_test.cc
@@ -106,6 +106,29 @@
   }
 }
 
+// At 240 VMs with 16 serving and 30 filling images, all pairs to all VMs each
+// second were most of what the owner sent and encoded.
+TEST_F(DispatcherPressureTest, TellsAVmOfTheImagesThatStandThereAndOnce) {
+  const std::string calm_vm = ServeCalmAndTouchy();
+  Teach(calm_vm);
+  dispatcher_->TakeMessages();
+  dispatcher_->SendWeights();
+  EXPECT_THAT(dispatcher_->TakeMessages(), SizeIs(0));  // Nothing fills yet.
+
+  dispatcher_->AddWorkflow(Filler(), std::nullopt, now_);
+  dispatcher_->Tick(now_, kUnix);
+  const std::vector<VmMessage> sent = dispatcher_->TakeMessages();
+  ASSERT_THAT(sent, SizeIs(2));  // What is known comes before the start.
+  const auto* told = std::get_if<PressureWeights>(&sent[0].message);
+  ASSERT_NE(told, nullptr);
+  EXPECT_EQ(sent[0].vm, calm_vm);
+  ASSERT_THAT(told->weights, SizeIs(1));
+  EXPECT_EQ(told->weights[0].serving, "calm");
+
+  dispatcher_->SendWeights();
+  EXPECT_THAT(dispatcher_->TakeMessages(), SizeIs(0));
+}
+
 TEST_F(DispatcherPressureTest, NextOwnerRecallsWhatWasLearned) {
   Teach(ServeCalmAndTouchy());
   const PressureRecord learned = dispatcher_->LearnedPressure();
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -51,8 +51,10 @@
   }
 }
 
-void Dispatcher::Hold(Vm& vm, const RunRef& run, const Job& job,
+void Dispatcher::Hold(Vm& vm, const RunRef& run, Job& job,
                       const WorkflowStep& step) {
+  ++job.held_runs;
+  ForgetDerived(vm);
   HeldRun held;
   held.yield_order = job.yield_order;
   held.amount = step.each;
@@ -60,12 +62,15 @@
   held.tail_target = step.tail_target;
   if (step.fills) {
     std::swap(held.filling_cpu, held.amount.cpu_millis);
+    const bool added = vm.filling.count(step.image) == 0;
+    vm.new_image = vm.new_image || added;
     vm.filling[step.image] += held.filling_cpu;
   }
   if (held.tail_target > Duration(0)) {
     vm.serving_cpu += held.amount.cpu_millis;
     tail_targets_[step.image] = step.tail_target;
     ServingImage& image = vm.serving[step.image];
+    vm.new_image = vm.new_image || image.runs == 0;
     ++image.runs;
     image.tail_target = step.tail_target;
   }
@@ -77,6 +82,9 @@
 void Dispatcher::Release(Vm& vm, const RunRef& run) {
   const auto it = vm.held.find(run);
   if (it == vm.held.end()) return;
+  ForgetDerived(vm);
+  Job* job = Find(run.task.workflow);
+  if (job != nullptr && job->held_runs > 0) --job->held_runs;
   const HeldRun& held = it->second;
   if (held.tail_target > Duration(0)) {
     vm.serving_cpu -= held.amount.cpu_millis;
@@ -101,6 +109,7 @@
 }
 
 void Dispatcher::StopAllOf(Job& job) {
+  if (job.held_runs == 0) return;
   const std::string& id = job.progress.workflow().id;
   for (auto& [name, vm] : vms_) {
     for (const auto& [run, held] : std::map<RunRef, HeldRun>(vm.held)) {
@@ -188,6 +197,7 @@
     return false;
   }
   state.unknown_tries = 0;
+  state.told.clear();  // Its executor may be another.
   TakeInventoryStatus(vm, state, inventory.status);
   state.answered = true;
   // Good until the first lease: what is reported here runs under leases that
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -134,6 +134,11 @@
   return waiting;
 }
 
+size_t Dispatcher::HeldRunsOf(const std::string& workflow) const {
+  const auto it = jobs_.find(workflow);
+  return it == jobs_.end() ? 0 : it->second->held_runs;
+}
+
 void Dispatcher::OnLinkUp(const std::string& vm) {
   Vm& state = vms_[vm];
   state.linked = true;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -128,6 +128,8 @@
   std::optional<WorkflowState> StateOf(const std::string& workflow) const;
   // Workflows of the queue of which nothing has begun.
   uint64_t WaitingIn(const std::string& queue) const;
+  // How many runs of the workflow VMs hold.
+  size_t HeldRunsOf(const std::string& workflow) const;
 
   // A link to the VM's executor is up: attach.
   void OnLinkUp(const std::string& vm);
@@ -165,7 +167,8 @@
   PressureRecord LearnedPressure() const;
   void RecallPressure(const PressureRecord& record);
 
-  // Tells every VM what was learned of pressure.
+  // Tells VMs what was learned of the images that stand there, as far as they
+  // don't know it yet.
   void SendWeights();
 
   // Lets lapsed work go and starts what can start.
@@ -216,6 +219,7 @@
     // the work that is left.
     double yield_order = 0;
     std::optional<TimePoint> over_at;
+    uint32_t held_runs = 0;               // On all VMs.
     std::optional<TimePoint> idle_since;  // While none of its tasks is held.
     // By round and step; for queues whose placement an advisor restricts.
     std::map<std::pair<uint32_t, uint32_t>, StepAdvice> advice;
@@ -233,6 +237,18 @@
     int runs = 0;
     Duration tail_target{};
   };
+  // What the fillers of a VM may use, by their order: behind each order, the
+  // sum up to and with it, in thousandths of a core.
+  struct FillerQueue {
+    bool known = false;
+    std::vector<std::pair<double, double>> sums;
+  };
+  // WorstTailRatio of a filler.
+  struct KnownRatio {
+    int64_t cpu_millis = 0;
+    std::string image;
+    double ratio = 0;
+  };
   struct Vm {
     VmStatus status;
     bool linked = false;
@@ -251,6 +267,15 @@
     int64_t filling_cpu_in_use = 0;
     uint64_t processed = 0;  // Highest end taken in, of this life.
     uint64_t settled = 0;    // Highest end reported as durable.
+    // Worked out when first asked for, and forgotten when what they rest on
+    // changes: hundreds of VMs are asked for each start.
+    mutable FillerQueue filler_queue;
+    mutable std::vector<KnownRatio> ratios;
+    mutable uint64_t ratios_version = 0;  // Of what was learned.
+    // What its executor was told of pressure, and whether an image has come
+    // since of which it may know nothing.
+    std::vector<PressureWeight> told;
+    bool new_image = false;
   };
   // By VM: the life of its runner and the number of an end.
   using EndsByVm = std::map<std::string, std::pair<std::string, uint64_t>>;
@@ -280,8 +305,7 @@
   bool IsPast(TimePoint bound, TimePoint now) const;
 
   // In dispatch_runs.cc.
-  void Hold(Vm& vm, const RunRef& run, const Job& job,
-            const WorkflowStep& step);
+  void Hold(Vm& vm, const RunRef& run, Job& job, const WorkflowStep& step);
   void Release(Vm& vm, const RunRef& run);
   void Stop(const std::string& name, Vm& vm, const RunRef& run);
   void StopAllOf(Job& job);
@@ -335,6 +359,12 @@
   // The worst tail over its target, by what was learned, if the filler came
   // here and worked at full speed; 0 where nothing serves or is known.
   double WorstTailRatio(const Vm& vm, const WorkflowStep& filler) const;
+  double PredictTailRatio(const Vm& vm, const WorkflowStep& filler) const;
+  // Brings what was learned up to date with the newest reports.
+  void RefitPressure();
+  // What is known of each pair of a serving and a filling image there.
+  std::vector<PressureWeight> WeightsOn(const Vm& vm) const;
+  void SendWeightsTo(const std::string& name, Vm& vm);
 
   // In dispatch_fillers.cc.
   // Moves fillers off VMs where they get next to nothing.
@@ -344,6 +374,9 @@
   // thousandths of a core. They go to fillers in their order; those before it
   // count by what their pace lets them use.
   double FreeCpuFor(const Vm& vm, double yield_order) const;
+  static const FillerQueue& FillerQueueOf(const Vm& vm);
+  // What a VM's runs are, or the paces of its fillers, has changed.
+  static void ForgetDerived(Vm& vm);
   // Whether nothing of the workflow has been at work for so long that it gets
   // a run even in a harmful place.
   static bool HasIdledLong(const Job& job, TimePoint now);
@@ -414,14 +447,14 @@
   using Reservation = std::pair<std::string, RunRef>;  // By VM.
   // Holds the room of all members of a gang; holds and returns nothing when
   // one finds none. With a rack, only VMs in it are used.
-  std::vector<Reservation> ReserveGang(const Job& job,
+  std::vector<Reservation> ReserveGang(Job& job,
                                        const WorkflowProgress::OpenStep& open,
                                        uint64_t run,
                                        const std::optional<std::string>& rack,
                                        TimePoint now);
   // A gang that is slower when spread goes into one rack if any has the room.
   std::vector<Reservation> ReserveGangTogether(
-      const Job& job, const WorkflowProgress::OpenStep& open, uint64_t run,
+      Job& job, const WorkflowProgress::OpenStep& open, uint64_t run,
       TimePoint now);
   // Whether a step that asks for no more had no room, in this tick.
   bool HadNoRoom(const std::string& service, const WorkflowStep& step) const;
@@ -458,6 +491,7 @@
   std::set<std::string> unaccounted_;
   WorkerHealth health_;
   PairwiseInterference interference_;
+  uint64_t interference_version_ = 1;
   // Steps that were found to have no room anywhere, in this tick, each with
   // its workflow's service.
   std::vector<std::pair<std::string, WorkflowStep>> no_room_;
--- a/beamhill/dispatch/dispatcher_benchmark.cc
+++ b/beamhill/dispatch/dispatcher_benchmark.cc
@@ -13,8 +13,8 @@
 constexpr TimePoint kStart{std::chrono::hours(1)};
 constexpr UnixMillis kUnix{1'000'000};
 constexpr Resources kVm{16000, 62500, 0};
-constexpr int kServingImages = 5;
-constexpr int kFillingImages = 9;
+constexpr int kServingImages = 16;
+constexpr int kFillingImages = 30;
 
 std::string NameOf(const char* kind, int64_t number) {
   return kind + std::to_string(number);
@@ -105,7 +105,7 @@
     benchmark::DoNotOptimize(owner->TakeMessages());
   }
 }
-BENCHMARK(BM_TickWithBacklog)->Arg(11)->Arg(76)->Arg(300);
+BENCHMARK(BM_TickWithBacklog)->Arg(11)->Arg(76)->Arg(240)->Arg(716);
 
 void BM_Pressure(benchmark::State& state) {
   const auto owner = OwnerOf(state.range(0));
@@ -115,7 +115,7 @@
     owner->OnPressure(NameOf("vm-", at), PressureOf(at));
   }
 }
-BENCHMARK(BM_Pressure)->Arg(76);
+BENCHMARK(BM_Pressure)->Arg(240);
 
 // Small jobs from their arrival to their stored end; reported by the start.
 void BM_StartToEnd(benchmark::State& state) {
@@ -149,7 +149,7 @@
   }
   state.SetItemsProcessed(state.iterations() * kTasks);
 }
-BENCHMARK(BM_StartToEnd)->Arg(11)->Arg(76)->Arg(300)->Iterations(2000);
+BENCHMARK(BM_StartToEnd)->Arg(11)->Arg(76)->Arg(240)->Arg(716)->Iterations(500);
 
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/placement/interference_model.cc
+++ b/beamhill/placement/interference_model.cc
@@ -42,6 +42,7 @@
   Matrix covariance = ublas::identity_matrix<double>(kFirstClass);
   double squared_error = 0.1;  // Of scaled residuals, smoothed.
   size_t samples = 0;
+  bool stale = false;  // Something was observed since the last solution.
   // Latencies are counted in this unit, the first one seen, so that the prior
   // means the same for services of any speed.
   double unit_us = 1;
@@ -80,6 +81,7 @@
   }
 
   void Solve() {
+    stale = false;
     Matrix m = products;
     m(kConstant, kConstant) += kConstantPrior;
     m(kShared, kShared) += priors.shared;
@@ -117,12 +119,19 @@
     m.squared_error +=
         0.01 * (std::min(residual * residual, 1.0) - m.squared_error);
   }
+  m.stale = true;
   if (++m.samples % m.priors.solve_every == 0 ||
       m.samples < m.priors.solve_every) {
     m.Solve();
   }
 }
 
+bool InterferenceModel::Refit() {
+  if (!impl_->stale) return false;
+  impl_->Solve();
+  return true;
+}
+
 Duration InterferenceModel::Mean(const ClassLoads& loads) const {
   const Impl& m = *impl_;
   double mean = m.weights(kConstant);
--- a/beamhill/placement/interference_model.h
+++ b/beamhill/placement/interference_model.h
@@ -31,6 +31,7 @@
   double shared = 0.05;
   double of_class = 0.5;
   // Observations between two solutions: fewer learn sooner and cost more.
+  // Beyond these, whoever observes often calls Refit at times of its own.
   size_t solve_every = 16;
 };
 
@@ -42,6 +43,10 @@
   // The service's latency on a VM while these classes ran there.
   void Observe(const ClassLoads& loads, Duration latency);
 
+  // Takes in what was observed since the last solution; returns whether there
+  // was any.
+  bool Refit();
+
   struct Prediction {
     Duration mean{};
     Duration deviation{};  // One standard deviation of the estimate.
--- a/beamhill/placement/pairwise_interference.cc
+++ b/beamhill/placement/pairwise_interference.cc
@@ -9,8 +9,10 @@
 // Observations of a serving image before its predictions count.
 constexpr size_t kEnoughSamples = 20;
 // A day has few images, and a wrong neighbour costs at once, so that weights
-// are learned from little: a pair seen for seconds at a tenth of a VM.
-constexpr InterferencePriors kPriors = {0.5, 0.01, 1};
+// are learned from little: a pair seen for seconds at a tenth of a VM. The
+// first observations count at once; at hundreds of VMs an image has some
+// hundred a second, which are taken in together.
+constexpr InterferencePriors kPriors = {0.5, 0.01, 64};
 
 // How often, and at which share of a VM, a recalled weight counts as seen.
 constexpr int kRecalledTimes = 8;
@@ -27,6 +29,14 @@
   for (const auto& [filler, share] : fillers) learned.fillers.insert(filler);
 }
 
+bool PairwiseInterference::Refit() {
+  bool changed = false;
+  for (auto& [serving, learned] : by_serving_) {
+    changed = learned.model.Refit() || changed;
+  }
+  return changed;
+}
+
 std::optional<Duration> PairwiseInterference::Predict(
     const std::string& serving, const ClassLoads& fillers) const {
   const auto it = by_serving_.find(serving);
@@ -48,6 +58,16 @@
   return weights;
 }
 
+std::optional<Duration> PairwiseInterference::WeightOf(
+    const std::string& serving, const std::string& filler) const {
+  const auto it = by_serving_.find(serving);
+  if (it == by_serving_.end()) return std::nullopt;
+  const Learned& learned = it->second;
+  if (learned.model.samples() < kEnoughSamples) return std::nullopt;
+  if (learned.fillers.count(filler) == 0) return std::nullopt;
+  return learned.model.WeightOf(filler);
+}
+
 std::vector<PairwiseInterference::Summary> PairwiseInterference::Summaries()
     const {
   std::map<std::string, Summary> by_serving;
--- a/beamhill/placement/pairwise_interference.h
+++ b/beamhill/placement/pairwise_interference.h
@@ -28,6 +28,10 @@
   void Observe(const std::string& serving, const ClassLoads& fillers,
                Duration tail);
 
+  // Brings predictions up to date with what was observed. Without a call they
+  // may trail it by some observations. Returns whether anything was new.
+  bool Refit();
+
   // The expected tail, or nothing while too little has been seen.
   std::optional<Duration> Predict(const std::string& serving,
                                   const ClassLoads& fillers) const;
@@ -39,6 +43,9 @@
   };
   // Of all pairs that have been seen beside each other.
   std::vector<Weight> Weights() const;
+  // Of one pair; nothing while too little has been seen of it.
+  std::optional<Duration> WeightOf(const std::string& serving,
+                                   const std::string& filler) const;
 
   // What was learned of one serving image, to be kept elsewhere.
   struct Summary {
