--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -182,8 +182,7 @@
   for (const RunRef& run : plan.runs) {
     Job* job = Find(run.task.workflow);
     if (!AllAtWork(*job, run, now)) continue;
-    MoveOff(plan.vm, vms_[plan.vm], *job, run,
-            "fillers would win " + std::to_string(plan.gain) + " cores");
+    MoveOff(plan.vm, vms_[plan.vm], *job, run, "fillers win by it");
   }
 }
 
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -346,11 +346,8 @@
       TicketFor(job, {ref.round, ref.step}, vm.status.life, now);
   starts.runs.push_back(
       {ref.index, run, checkpoint, ticket == nullptr ? "" : ticket->text});
-  Decide(ref.workflow, "run_ordered",
-         ref.ToString() + " run " + std::to_string(run) + " on " + name +
-             ", used " + std::to_string(vm.used.cpu_millis) + " of " +
-             std::to_string(vm.status.capacity.cpu_millis) +
-             (step.image.empty() ? "" : ", image " + step.image));
+  run_log_.Note("run_ordered", {ref, run}, name,
+                step.image.empty() ? "" : "image " + step.image);
 }
 
 void Dispatcher::FlushStarts() {
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -21,11 +21,6 @@
 // life registers.
 constexpr Duration kUnreachablePause = std::chrono::milliseconds(1500);
 
-// A run and where it is, for the log.
-std::string RunOnVm(const RunRef& run, const std::string& vm) {
-  return run.task.ToString() + " run " + std::to_string(run.run) + " on " + vm;
-}
-
 }  // namespace
 
 void Dispatcher::MoveOff(const std::string& name, Vm& vm, Job& job,
@@ -33,9 +28,7 @@
   job.progress.At(run.task).avoid_vm = name;
   Stop(name, vm, run);
   ++counts_.moved;
-  Decide(run.task.workflow, "run_moved",
-         run.task.ToString() + " run " + std::to_string(run.run) + " off " +
-             name + ": " + reason);
+  run_log_.Note("run_moved", run, name, reason);
 }
 
 void Dispatcher::Evacuate(const std::string& name, Vm& vm) {
@@ -125,8 +118,7 @@
   Job* job = Find(run.task.workflow);
   if (job == nullptr) return;
   job->progress.OnEnded(run.task, run.run, kind, "");
-  Decide(run.task.workflow, "run_let_go",
-         RunOnVm(run, name) + ": " + std::string(RunEndKindName(kind)));
+  run_log_.Note("run_let_go", run, name, std::string(RunEndKindName(kind)));
 }
 
 void Dispatcher::LetGoAll(const std::string& name, Vm& vm) {
@@ -156,7 +148,7 @@
         run.run >= task.run) {
       job->progress.OnStarted(run.task, run.run, name, now);
       ++counts_.adopted;
-      Decide(run.task.workflow, "run_adopted", RunOnVm(run, name));
+      run_log_.Note("run_adopted", run, name, "");
       return;
     }
   }
@@ -249,8 +241,7 @@
   Release(vm, run);
   Job* job = Find(run.task.workflow);
   if (job == nullptr || !job->progress.Has(run.task)) return;
-  Decide(run.task.workflow, "run_ended",
-         RunOnVm(run, name) + ": " + std::string(RunEndKindName(end.kind)));
+  run_log_.Note("run_ended", run, name, std::string(RunEndKindName(end.kind)));
   const WorkflowProgress::Task& task = job->progress.At(run.task);
   const bool held_elsewhere =
       task.phase == WorkflowProgress::Phase::kHeld && task.run != run.run;
@@ -287,9 +278,8 @@
   } else if (refused.reason != NotBegunReason::kStopped) {
     vm.not_before = now + kNoRoomPause;
   }
-  Decide(run.task.workflow, "run_not_begun",
-         RunOnVm(run, name) + ": " +
-             std::string(NotBegunReasonName(refused.reason)));
+  run_log_.Note("run_not_begun", run, name,
+                std::string(NotBegunReasonName(refused.reason)));
 }
 
 void Dispatcher::OnReports(const std::string& vm, const RunReports& reports,
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -1,9 +1,42 @@
 // The part of Dispatcher that shows its state, for the log and for operators.
+#include <algorithm>
 #include <sstream>
 
 #include "beamhill/dispatch/dispatcher.h"
 
 namespace beamhill {
+namespace {
+
+// A weight that has moved by less than this, or this part of itself, is no
+// news.
+constexpr Duration kNews = std::chrono::milliseconds(10);
+constexpr int kNewsDivisor = 4;
+
+}  // namespace
+
+std::vector<PressureWeight> Dispatcher::TakeNews(size_t limit) {
+  std::vector<std::pair<Duration, PressureWeight>> news;
+  for (const auto& weight : interference_.Weights()) {
+    const auto told = logged_weights_.find({weight.serving, weight.filler});
+    const Duration before =
+        told == logged_weights_.end() ? Duration(0) : told->second;
+    const Duration moved = std::chrono::abs(weight.per_vm - before);
+    if (moved < std::max(kNews, std::chrono::abs(before) / kNewsDivisor)) {
+      continue;
+    }
+    news.push_back({moved, {weight.serving, weight.filler, weight.per_vm}});
+  }
+  std::sort(news.begin(), news.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  if (news.size() > limit) news.resize(limit);
+  std::vector<PressureWeight> taken;
+  for (auto& entry : news) {
+    const PressureWeight& weight = entry.second;
+    logged_weights_[{weight.serving, weight.filling}] = weight.per_vm;
+    taken.push_back(weight);
+  }
+  return taken;
+}
 
 DispatchSummary Dispatcher::Summary() const {
   DispatchSummary summary;
@@ -14,17 +47,14 @@
     summary.used += vm.used;
     summary.serving_cpu += vm.serving_cpu;
     summary.filling_cpu += vm.filling_cpu;
-    summary.filling_cpu_in_use += vm.filling_cpu_in_use;
+    // The last report of a VM stays after its last filler has gone.
+    summary.filling_cpu_in_use +=
+        std::min(vm.filling_cpu_in_use, vm.filling_cpu);
     summary.held_runs += vm.held.size();
   }
   for (const auto& [id, job] : jobs_) {
     if (!job->progress.over()) ++summary.open_workflows;
   }
-  for (const auto& weight : interference_.Weights()) {
-    const auto millis = static_cast<int64_t>(ToMillis(weight.per_vm));
-    summary.pressure += weight.filler + ">" + weight.serving + ":" +
-                        std::to_string(millis) + " ";
-  }
   return summary;
 }
 
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -6,6 +6,10 @@
 namespace beamhill {
 namespace {
 
+// How long lines about runs wait for others of their step. At 240 VMs a burst
+// ends 700 runs a second of some 100 steps: so it is some 300 lines a second.
+constexpr Duration kRunLogInterval = std::chrono::milliseconds(250);
+
 // What a workflow asks for, in short, for the log.
 std::string ShapeOf(const Workflow& workflow) {
   std::string shape = workflow.repetitions > 0
@@ -39,11 +43,14 @@
                        DecisionHook on_decision, TimePoint now)
     : options_(options),
       on_decision_(std::move(on_decision)),
+      run_log_(on_decision_),
       taken_at_(now),
       confirmed_at_(now),
       unaccounted_(options.inherited_vms.begin(), options.inherited_vms.end()) {
 }
 
+Dispatcher::~Dispatcher() { run_log_.Flush(); }
+
 Dispatcher::Job* Dispatcher::Find(const std::string& workflow) {
   const auto it = jobs_.find(workflow);
   return it == jobs_.end() ? nullptr : it->second.get();
@@ -221,12 +228,16 @@
 
 void Dispatcher::Tick(TimePoint now, UnixMillis unix_now) {
   ExpireLeases(now);
-  if (!may_act_) return;
-  RefreshIdle(now);
-  RefreshOrder(now, unix_now);
-  MoveStarved(now);
-  RefreshLayout(now);
-  StartWaiting(now, unix_now);
+  if (may_act_) {
+    RefreshIdle(now);
+    RefreshOrder(now, unix_now);
+    MoveStarved(now);
+    RefreshLayout(now);
+    StartWaiting(now, unix_now);
+  }
+  if (now - runs_logged_at_ < kRunLogInterval) return;
+  runs_logged_at_ = now;
+  run_log_.Flush();
 }
 
 std::vector<VmMessage> Dispatcher::TakeMessages() {
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -38,6 +38,8 @@
 
 #include "beamhill/base/time.h"
 #include "beamhill/dispatch/dispatch_messages.h"
+#include "beamhill/dispatch/dispatch_types.h"
+#include "beamhill/dispatch/run_log.h"
 #include "beamhill/placement/pairwise_interference.h"
 #include "beamhill/placement/serving_layout.h"
 #include "beamhill/placement/worker_health.h"
@@ -45,78 +47,16 @@
 
 namespace beamhill {
 
-struct DispatcherOptions {
-  uint64_t epoch = 1;
-  // How long a VM's work may go on after its last heartbeat was answered.
-  Duration lease_term = std::chrono::seconds(5);
-  // The runners' clocks may be 2 % slow, ours are taken as exact to 0.5 %.
-  int64_t clock_error_permille = 25;
-  // How long from the taking of the ownership leases of earlier owners may
-  // still be in force.
-  Duration inherited_bound = std::chrono::seconds(14);
-  // VMs that an earlier owner may have used.
-  std::vector<std::string> inherited_vms;
-  // How long the outcome of a workflow that is over can be asked for.
-  Duration retention = std::chrono::seconds(130);
-};
-
-// The whole deployment at one moment, for the log and for figures.
-struct DispatchSummary {
-  size_t vms = 0;  // Answering.
-  Resources capacity;
-  Resources used;                  // By what doesn't fill.
-  int64_t serving_cpu = 0;         // Part of it.
-  int64_t filling_cpu = 0;         // What fillers ask for.
-  int64_t filling_cpu_in_use = 0;  // What they used, as last reported.
-  size_t open_workflows = 0;
-  size_t held_runs = 0;
-  std::string pressure;  // "filler>serving:ms" for each learned pair.
-};
-
-struct VmMessage {
-  std::string vm;
-  DispatchMessage message;
-};
-
-// What one transaction stores.
-struct DispatchCommit {
-  std::vector<std::pair<std::string, ProgressRecord>> progress;
-  std::vector<std::string> forgotten;  // Workflows past their retention.
-};
-
-// Asks the placement advisor which of these runners may run a step.
-struct AdviceRequest {
-  TaskRef step;  // The index means nothing.
-  std::vector<std::string> lives;
-};
-
-// What it answered: the runners that may, each with a ticket for its starts.
-struct Advice {
-  std::map<std::string, std::string> tickets;  // By life.
-};
-
-struct DispatchCounts {
-  uint64_t starts = 0;
-  uint64_t done = 0;
-  uint64_t failed = 0;
-  uint64_t not_begun = 0;
-  uint64_t lapsed = 0;
-  uint64_t adopted = 0;
-  uint64_t stray_stops = 0;
-  uint64_t moved = 0;
-};
-
 class Dispatcher {
  public:
-  // Called for each decision that touches a workflow, for the log.
-  using DecisionHook =
-      std::function<void(const std::string& workflow, const std::string& event,
-                         const std::string& detail)>;
-
   static std::unique_ptr<Dispatcher> Create(const DispatcherOptions& options,
                                             DecisionHook on_decision,
                                             TimePoint now);
 
+  ~Dispatcher();
+  Dispatcher(const Dispatcher&) = delete;
+  Dispatcher& operator=(const Dispatcher&) = delete;
+
   // A stored workflow, with its record if one is stored. Known ones are left
   // as they are.
   void AddWorkflow(const Workflow& workflow,
@@ -171,7 +111,12 @@
   // don't know it yet.
   void SendWeights();
 
-  // Lets lapsed work go and starts what can start.
+  // Pairs whose weight has changed since they were last taken, for the log: the
+  // first so many of those that moved most.
+  std::vector<PressureWeight> TakeNews(size_t limit);
+
+  // Lets lapsed work go and starts what can start. Lines about runs go to the
+  // hook some times a second.
   void Tick(TimePoint now, UnixMillis unix_now);
 
   std::vector<VmMessage> TakeMessages();
@@ -481,6 +426,8 @@
 
   DispatcherOptions options_;
   DecisionHook on_decision_;
+  RunLog run_log_;
+  TimePoint runs_logged_at_{};
   TimePoint taken_at_;
   TimePoint confirmed_at_;
   bool may_act_ = true;
@@ -498,6 +445,8 @@
   WorkerHealth health_;
   PairwiseInterference interference_;
   uint64_t interference_version_ = 1;
+  // By serving and filling image: what the log was told last.
+  std::map<std::pair<std::string, std::string>, Duration> logged_weights_;
   // Steps that were found to have no room anywhere, in this tick, each with
   // its workflow's service.
   std::vector<std::pair<std::string, WorkflowStep>> no_room_;
--- a/beamhill/log/log.cc
+++ b/beamhill/log/log.cc
@@ -1,6 +1,7 @@
 #include "beamhill/log/log.h"
 
 #include <fcntl.h>
+#include <limits.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 #include <ctime>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace beamhill {
 namespace {
@@ -24,43 +26,37 @@
 using Sink =
     logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
 
+// The size up to which a pipe takes a line whole or not at all, with its end.
+constexpr size_t kLongestLine = PIPE_BUF;
+// Texts above this are cut in a line that would be too long.
+constexpr size_t kLongestText = 600;
+
+TimePoint Now() {
+  return TimePoint(std::chrono::duration_cast<Duration>(
+      std::chrono::steady_clock::now().time_since_epoch()));
+}
+
 // Writes whole lines to a descriptor without ever waiting for its reader.
-// A pipe takes a line of up to PIPE_BUF bytes whole or not at all.
 class FdBackend : public logging::sinks::basic_formatted_sink_backend<char> {
  public:
   explicit FdBackend(const LogOutput& output)
-      : output_(output), tokens_(output.burst) {
-    const int flags = fcntl(output.fd, F_GETFL);
-    fcntl(output.fd, F_SETFL, flags | O_NONBLOCK);
+      : fd_(output.fd), budget(output.budget) {
+    const int flags = fcntl(fd_, F_GETFL);
+    fcntl(fd_, F_SETFL, flags | O_NONBLOCK);
   }
 
   // The library fixes the name. NOLINTNEXTLINE(readability-identifier-naming)
   void consume(logging::record_view const&, const std::string& line) {
-    Refill();
-    if (tokens_ < 1) {
-      ++dropped;
-      return;
-    }
-    tokens_ -= 1;
     const std::string bytes = line + "\n";
-    if (write(output_.fd, bytes.data(), bytes.size()) < 0) ++dropped;
+    written = write(fd_, bytes.data(), bytes.size()) >= 0;
   }
 
-  uint64_t dropped = 0;
-
  private:
-  void Refill() {
-    const auto now = std::chrono::steady_clock::now();
-    const std::chrono::duration<double> passed = now - refilled_at_;
-    refilled_at_ = now;
-    tokens_ = std::min<double>(
-        output_.burst, tokens_ + passed.count() * output_.lines_per_second);
-  }
+  int fd_;
 
-  LogOutput output_;
-  double tokens_;
-  std::chrono::steady_clock::time_point refilled_at_ =
-      std::chrono::steady_clock::now();
+ public:
+  LogBudget budget;
+  bool written = true;  // The last line.
 };
 
 struct LogState {
@@ -68,7 +64,8 @@
   LogLevel level = LogLevel::kInfo;
   logging::sources::logger source;
   boost::shared_ptr<FdBackend> backend;
-  uint64_t dropped_reported = 0;
+  TimePoint dropped_reported_at{};
+  Duration report_dropped_every{};
 };
 
 LogState& State() {
@@ -111,6 +108,7 @@
 void InitLog(std::string_view process, LogLevel level) {
   State().process = std::string(process);
   State().level = level;
+  State().backend.reset();
   const auto backend =
       boost::make_shared<logging::sinks::text_ostream_backend>();
   backend->add_stream(
@@ -126,6 +124,8 @@
   state.process = std::string(process);
   state.level = level;
   state.backend = boost::make_shared<FdBackend>(output);
+  state.dropped_reported_at = TimePoint{};
+  state.report_dropped_every = output.report_dropped_every;
   logging::core::get()->remove_all_sinks();
   logging::core::get()->add_sink(
       boost::make_shared<logging::sinks::synchronous_sink<FdBackend>>(
@@ -133,7 +133,7 @@
 }
 
 uint64_t LogLinesDropped() {
-  return State().backend ? State().backend->dropped : 0;
+  return State().backend ? State().backend->budget.dropped() : 0;
 }
 
 void SetLogLevel(LogLevel level) { State().level = level; }
@@ -148,26 +148,83 @@
                "use debug, info, warning or error"};
 }
 
+namespace {
+
+using Line = nlohmann::ordered_json;
+
+Line Begin(LogLevel level, std::string_view event) {
+  Line line;
+  line["ts"] = UtcNow();
+  line["level"] = LevelName(level);
+  line["process"] = State().process;
+  line["event"] = event;
+  return line;
+}
+
+std::string Dump(const Line& line) {
+  return line.dump(-1, ' ', false, Line::error_handler_t::replace);
+}
+
+void CutTexts(Line& line) {
+  for (auto& value : line) {
+    if (!value.is_string()) continue;
+    const auto& text = value.get_ref<const std::string&>();
+    if (text.size() <= kLongestText) continue;
+    value = text.substr(0, kLongestText) + "... of " +
+            std::to_string(text.size()) + " bytes";
+  }
+}
+
+void Write(Line line) {
+  std::string text = Dump(line);
+  if (text.size() >= kLongestLine) {
+    CutTexts(line);
+    text = Dump(line);
+  }
+  if (text.size() >= kLongestLine) {
+    Line shortened;
+    for (const char* key : {"ts", "level", "process", "event", "request"}) {
+      if (line.contains(key)) shortened[key] = line[key];
+    }
+    shortened["cut_bytes"] = text.size();
+    text = Dump(shortened);
+  }
+  BOOST_LOG(State().source) << text;
+}
+
+// Tells what was dropped, by event, if that is due.
+void ReportDropped(TimePoint now) {
+  LogState& state = State();
+  if (now - state.dropped_reported_at < state.report_dropped_every) return;
+  const LogBudget::Counts dropped = state.backend->budget.TakeDropped();
+  if (dropped.empty()) return;
+  state.dropped_reported_at = now;
+  Line line = Begin(LogLevel::kWarning, "log_lines_dropped");
+  for (const auto& [event, count] : dropped) line[event] = count;
+  Write(std::move(line));
+}
+
+}  // namespace
+
 void Log(LogLevel level, std::string_view event,
          std::initializer_list<LogField> fields) {
   LogState& state = State();
   if (level < state.level) return;
-  nlohmann::ordered_json line;
-  line["ts"] = UtcNow();
-  line["level"] = LevelName(level);
-  line["process"] = state.process;
-  line["event"] = event;
-  if (const uint64_t dropped = LogLinesDropped();
-      dropped > state.dropped_reported) {
-    line["lines_dropped"] = dropped - state.dropped_reported;
-    state.dropped_reported = dropped;
+  if (state.backend) {
+    // Before the line is formatted, which costs more than all else here.
+    const TimePoint now = Now();
+    if (!state.backend->budget.Admit(event, now)) return;
+    ReportDropped(now);
   }
+  Line line = Begin(level, event);
   for (const LogField& field : fields) {
     std::visit([&](const auto& value) { line[std::string(field.key)] = value; },
                field.value);
   }
-  BOOST_LOG(state.source) << line.dump(
-      -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+  Write(std::move(line));
+  if (state.backend && !state.backend->written) {
+    state.backend->budget.NoteDropped(event);
+  }
 }
 
 }  // namespace beamhill
--- a/beamhill/log/log.h
+++ b/beamhill/log/log.h
@@ -16,6 +16,7 @@
 #include <variant>
 
 #include "beamhill/base/error.h"
+#include "beamhill/log/log_budget.h"
 
 namespace beamhill {
 
@@ -40,12 +41,13 @@
 void InitLog(std::string_view process, LogLevel level);
 
 // Where lines go and how many. Lines beyond the budget, and lines that the
-// reader of the pipe has left no room for, are dropped and counted; a later
-// line tells how many.
+// reader of the pipe has left no room for, are dropped and counted by event; a
+// line `log_lines_dropped` tells of them. Lines are at
+// most 4 KiB: a pipe takes those whole or not at all. Longer texts are cut.
 struct LogOutput {
   int fd = 2;
-  uint32_t lines_per_second = 400;
-  uint32_t burst = 1200;
+  LogBudgetOptions budget;
+  Duration report_dropped_every = std::chrono::seconds(1);
 };
 // Never blocks: the descriptor is made non-blocking.
 void InitLog(std::string_view process, LogLevel level, const LogOutput& output);
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -19,6 +19,8 @@
 // What was learned rides on a transaction this often; some kilobytes.
 constexpr Duration kStorePressureInterval = std::chrono::seconds(2);
 constexpr Duration kCommitRetry = std::chrono::milliseconds(150);
+// Pairs of images in a log line: below 4 KiB with the users' names.
+constexpr size_t kPairsOfLine = 60;
 constexpr Duration kReattachPause = std::chrono::milliseconds(300);
 
 UnixMillis UnixNow() {
@@ -155,8 +157,21 @@
        {"cpu_filling", summary.filling_cpu},
        {"cpu_filling_in_use", summary.filling_cpu_in_use},
        {"runs", summary.held_runs},
-       {"open_workflows", summary.open_workflows},
-       {"pressure_ms", summary.pressure}});
+       {"open_workflows", summary.open_workflows}});
+  LogPressureNews();
+}
+
+void WorkOwner::LogPressureNews() {
+  std::string pairs;
+  for (const PressureWeight& weight : dispatcher_->TakeNews(kPairsOfLine)) {
+    const auto millis = static_cast<int64_t>(ToMillis(weight.per_vm));
+    if (!pairs.empty()) pairs += " ";
+    pairs +=
+        weight.filling + ">" + weight.serving + ":" + std::to_string(millis);
+  }
+  if (pairs.empty()) return;
+  Log(LogLevel::kInfo, "pressure_learned",
+      {{"epoch", options_.epoch}, {"pressure_ms", pairs}});
 }
 
 void WorkOwner::Scan() {
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -101,6 +101,7 @@
   void AskAdvisor();
   void OnCommitted(bool committed, TimePoint sent_at);
   void LogSummary();
+  void LogPressureNews();
   std::vector<RowWrite> WritesOf(const DispatchCommit& commit);
 
   EventLoop& loop_;
