Count failed runs and waves of wide steps in a workflow's objective

Of 5,600 runs 270 fail, so nearly every workflow of forty tasks has one in each step, and half of the steps are wider than a quarter of the processors. The users count both in the objective; we did not, took such workflows for late when half of their time was over, and let them yield to all others: in effect first come, first served. Tests, failing before: ObjectiveTest (2).

--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -169,10 +169,19 @@
   }
 }
 
+void Dispatcher::RefreshRoom() {
+  room_.clear();
+  for (const auto& [name, vm] : vms_) {
+    if (!vm.answered) continue;
+    room_[vm.status.service] += vm.status.capacity.cpu_millis;
+  }
+}
+
 void Dispatcher::RefreshOrder(TimePoint now, UnixMillis unix_now) {
   if (now - order_refreshed_at_ < kOrderInterval) return;
   order_refreshed_at_ = now;
   RefitPressure();
+  RefreshRoom();
   for (const auto& [id, job] : jobs_) {
     if (!job->progress.over()) SetYieldOrder(*job, now, unix_now);
   }
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -30,6 +30,9 @@
 // Above the work of any workflow in core-seconds, and above any time in
 // seconds: what is late yields to all that is not.
 constexpr double kLatenessWeight = 1e9;
+// A step that asks for more than this part of a service's processors is taken
+// to run in waves of that size: the users count its objective so.
+constexpr int64_t kWavesOfRoom = 4;
 // Too late to be worth anything to its caller, by LatenessOf.
 constexpr int kTooLate = 2;
 // Runs of an owner are numbered from its epoch times this, so that they are
@@ -43,11 +46,31 @@
   return std::max(task.run + 1, first);
 }
 
+int64_t Dispatcher::WavesOf(const Job& job, const WorkflowStep& step) const {
+  const auto room = room_.find(job.progress.workflow().service);
+  const int64_t wave = room == room_.end() ? 0 : room->second / kWavesOfRoom;
+  if (wave == 0) return 1;
+  const int64_t wide = step.each.cpu_millis * step.tasks;
+  return std::max<int64_t>(1, (wide + wave - 1) / wave);
+}
+
+Duration Dispatcher::AllowedFor(const Job& job, uint32_t round) const {
+  const Workflow& workflow = job.progress.workflow();
+  const Duration chain = LongestChain(workflow, [&](size_t number) {
+    const WorkflowStep& step = workflow.steps[number];
+    const auto failures = static_cast<int64_t>(
+        job.progress.MostFailures(round, static_cast<uint32_t>(number)));
+    return step.declared_run * (WavesOf(job, step) + failures);
+  });
+  return std::chrono::duration_cast<Duration>(chain * workflow.policy.stretch) +
+         workflow.policy.target_latency;
+}
+
 // When a round's objective ends. A round with a due time counts from there.
 TimePoint Dispatcher::DueOf(const Job& job, uint32_t round, TimePoint now,
                             UnixMillis unix_now) {
   const Workflow& workflow = job.progress.workflow();
-  if (workflow.repetitions == 0) return job.due;
+  if (workflow.repetitions == 0) return job.added_at + job.allowed;
   const UnixMillis began = workflow.first_due + round * workflow.interval;
   return now + (began - unix_now) + job.allowed;
 }
@@ -73,6 +96,7 @@
   for (uint32_t round = 0; round < workflow.rounds(); ++round) {
     const double work = job.progress.RemainingWork(round);
     if (work <= 0) continue;
+    job.allowed = AllowedFor(job, round);
     const int lateness = LatenessOf(job, round, now, unix_now);
     const TimePoint due = DueOf(job, round, now, unix_now);
     job.yield_order =
--- a/beamhill/dispatch/dispatch_placement_test.cc
+++ b/beamhill/dispatch/dispatch_placement_test.cc
@@ -169,5 +169,63 @@
   EXPECT_THAT(dispatcher_->TakeAdviceRequests(), SizeIs(1));
 }
 
+class ObjectiveTest : public DispatcherTest {
+ protected:
+  // The order of the newest start of a filler; late work comes after any in
+  // time.
+  double NewestOrder() {
+    double order = -1;
+    for (const VmMessage& out : dispatcher_->TakeMessages()) {
+      const auto* starts = std::get_if<StartRuns>(&out.message);
+      if (starts != nullptr) order = starts->traits.yield_order;
+    }
+    return order;
+  }
+
+  static Workflow Filler(uint32_t tasks) {
+    Workflow filling = OneStep("f", tasks, 2);
+    filling.steps[0].fills = true;
+    filling.steps[0].image = "f";
+    return filling;
+  }
+
+  static constexpr double kLate = 1e9;
+};
+
+// Nearly every workflow of forty tasks has a run that fails; by an objective
+// without these it was taken for late, and yielded to all that was not.
+TEST_F(ObjectiveTest, RunsThatFailLengthenTheObjective) {
+  Take({});
+  Link("vm-1");
+  dispatcher_->AddWorkflow(Filler(1), std::nullopt, now_);
+  const auto starts = Tick().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  now_ += std::chrono::milliseconds(1500);  // Of 2 s, without failures.
+  dispatcher_->OnHeartbeat("vm-1", {2, now_}, now_);
+  End("vm-1", 1, starts[0].second, RunEndKind::kFailed);
+  Pass(std::chrono::seconds(1), {"vm-1"});
+  const double order = NewestOrder();
+  EXPECT_GE(order, 0);
+  EXPECT_LT(order, kLate);
+}
+
+// A step that is wide for the deployment can't be done in one go.
+TEST_F(ObjectiveTest, WideStepsAreGivenTimeForTheirWaves) {
+  Take({});
+  Link("vm-1");  // Eight cores: a wave has two.
+  dispatcher_->AddWorkflow(Filler(6), std::nullopt, now_);
+  const auto first = Tick().starts;
+  Pass(std::chrono::milliseconds(2500), {"vm-1"});
+  dispatcher_->TakeMessages();
+  uint64_t number = 0;
+  for (const auto& [vm, run] : first) {
+    End(vm, ++number, run, RunEndKind::kDone);
+  }
+  dispatcher_->Tick(now_, kUnix);
+  const double order = NewestOrder();
+  EXPECT_GE(order, 0);
+  EXPECT_LT(order, kLate);
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -77,7 +77,7 @@
     if (job->progress.over()) continue;
     out << "workflow " << id << " " << WorkflowStateName(job->progress.state())
         << " opened " << job->opened << " inherited " << job->inherited
-        << " due_ms " << ToMillis(job->due - now) << "\n";
+        << " due_ms " << ToMillis(job->added_at + job->allowed - now) << "\n";
   }
   return out.str();
 }
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -91,10 +91,8 @@
              : workflow.offered_to;
   job->opened = last_opener == options_.epoch;
   job->inherited = !job->opened && last_opener != 0;
-  job->allowed = std::chrono::duration_cast<Duration>(DeclaredChain(workflow) *
-                                                      workflow.policy.stretch) +
-                 workflow.policy.target_latency;
-  job->due = now + job->allowed;
+  job->added_at = now;
+  job->allowed = AllowedFor(*job, 0);
   if (record) {
     job->progress.Restore(*record);
     job->stored_state = record->state;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -158,7 +158,7 @@
 
     WorkflowProgress progress;
     WorkflowState stored_state = WorkflowState::kQueued;
-    TimePoint due{};         // When the objective ends.
+    TimePoint added_at{};
     Duration allowed{};      // The objective, from its beginning.
     bool opened = false;     // Stored under this epoch: tasks may start.
     bool inherited = false;  // An earlier owner may have started tasks.
@@ -344,6 +344,8 @@
   std::vector<RunRef> StarvedRuns(Vm& vm, TimePoint now);
   static bool MayBeMoved(const HeldRun& held, const WorkflowStep& step,
                          TimePoint now);
+  // Adds up the processors of each service's VMs.
+  void RefreshRoom();
   // Notes since when workflows have had nothing at work.
   void RefreshIdle(TimePoint now);
   // Brings the order of fillers up to date, and tells their executors.
@@ -383,6 +385,12 @@
 
   // In dispatch_placement.cc.
   void StartWaiting(TimePoint now, UnixMillis unix_now);
+  // How long the round may take: the queue's part more than its longest chain,
+  // in which runs that failed count, and a step that is wide for the service's
+  // VMs counts in waves.
+  Duration AllowedFor(const Job& job, uint32_t round) const;
+  // In how many waves a step is taken to run.
+  int64_t WavesOf(const Job& job, const WorkflowStep& step) const;
   static TimePoint DueOf(const Job& job, uint32_t round, TimePoint now,
                          UnixMillis unix_now);
   // 0: on time, 1: late, 2: too late to be worth anything.
@@ -390,7 +398,7 @@
                         UnixMillis unix_now);
   static double RankWithin(int lateness, double work, TimePoint due);
   // By the earliest round that is not done.
-  static void SetYieldOrder(Job& job, TimePoint now, UnixMillis unix_now);
+  void SetYieldOrder(Job& job, TimePoint now, UnixMillis unix_now);
   static TaskTraits TraitsOf(const Job& job, const WorkflowStep& step);
   std::vector<OpenStepRef> ByUrgency(TimePoint now, UnixMillis unix_now);
   void StartStep(Job& job, const WorkflowProgress::OpenStep& open,
@@ -444,6 +452,7 @@
 
   std::map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<std::string, Vm> vms_;
+  std::map<std::string, int64_t> room_;  // Processors of a service's VMs.
   std::set<std::string> unaccounted_;
   WorkerHealth health_;
   PairwiseInterference interference_;
--- a/beamhill/replay/load_replay.cc
+++ b/beamhill/replay/load_replay.cc
@@ -42,6 +42,9 @@
 constexpr double kLateCredit = 0.15;
 constexpr int kLateFactor = 3;
 constexpr double kServingUse = 0.42;
+// The users count the objective of a step that is wider than this part of all
+// processors in waves.
+constexpr int64_t kWavesOfRoom = 4;
 constexpr double kWidthSpread = 0.6;
 constexpr double kCpuSpread = 0.3;
 constexpr double kRunSpread = 0.5;
@@ -82,7 +85,8 @@
     std::unique_ptr<Executor> executor;
   };
   struct Truth {
-    std::vector<std::vector<Duration>> run;  // By step and task.
+    std::vector<std::vector<Duration>> run;   // By step and task.
+    std::vector<std::set<uint32_t>> failing;  // Tasks whose first run fails.
     ReplayedWorkflow outcome;
     std::optional<TimePoint> idle_since;
   };
@@ -145,7 +149,8 @@
     task.saves = step.saves_progress;
     if (task.lasts) return task;
     task.work = truths_.at(workflow.id).run[run.task.step][run.task.index];
-    task.fails = task.fills && Uniform() < load_.failing_part && run.run <= 2;
+    const auto& failing = truths_.at(workflow.id).failing[run.task.step];
+    task.fails = run.run == 1 && failing.count(run.task.index) > 0;
     return task;
   }
 
@@ -299,7 +304,14 @@
       if (fills) step.image = image;
       if (i > 0) step.after = {i - 1};
       truth.run.emplace_back(step.tasks, run);
-      chain += run;
+      truth.failing.emplace_back();
+      for (uint32_t task = 0; fills && task < step.tasks; ++task) {
+        if (Uniform() < load_.failing_part) truth.failing.back().insert(task);
+      }
+      const int64_t wave = load_.vms * load_.vm.cpu_millis / kWavesOfRoom;
+      const int64_t waves =
+          (step.each.cpu_millis * step.tasks + wave - 1) / wave;
+      chain += run * (waves + (truth.failing.back().empty() ? 0 : 1));
       truth.outcome.core_seconds += step.tasks * Seconds(run).count() *
                                     static_cast<double>(step.each.cpu_millis) /
                                     kMillisOfCore;
--- a/beamhill/workflow/workflow.cc
+++ b/beamhill/workflow/workflow.cc
@@ -61,7 +61,8 @@
   return std::nullopt;
 }
 
-Duration DeclaredChain(const Workflow& workflow) {
+Duration LongestChain(const Workflow& workflow,
+                      const std::function<Duration(size_t step)>& step_time) {
   std::vector<Duration> ends(workflow.steps.size());
   Duration longest{};
   for (size_t i = 0; i < workflow.steps.size(); ++i) {
@@ -69,7 +70,7 @@
     for (const uint32_t earlier : workflow.steps[i].after) {
       begin = std::max(begin, ends[earlier]);
     }
-    ends[i] = begin + workflow.steps[i].declared_run;
+    ends[i] = begin + step_time(i);
     longest = std::max(longest, ends[i]);
   }
   return longest;
--- a/beamhill/workflow/workflow.h
+++ b/beamhill/workflow/workflow.h
@@ -10,6 +10,7 @@
 #define BEAMHILL_WORKFLOW_WORKFLOW_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -126,8 +127,10 @@
 // step that waits for itself or a later one, a need below zero.
 std::optional<Error> CheckWorkflow(const Workflow& workflow);
 
-// The time that the longest chain of steps takes by the declared run times.
-Duration DeclaredChain(const Workflow& workflow);
+// The longest chain of steps that wait for each other, where each step takes
+// what `step_time` says of its number.
+Duration LongestChain(const Workflow& workflow,
+                      const std::function<Duration(size_t step)>& step_time);
 
 }  // namespace beamhill
 
--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -147,17 +147,17 @@
 }
 
 Duration WorkflowProgress::RemainingChain(uint32_t round, TimePoint now) const {
-  std::vector<Duration> ends(workflow_.steps.size());
-  Duration longest{};
-  for (uint32_t step = 0; step < workflow_.steps.size(); ++step) {
-    Duration begin{};
-    for (const uint32_t earlier : workflow_.steps[step].after) {
-      begin = std::max(begin, ends[earlier]);
-    }
-    ends[step] = begin + RemainingOf(round, step, now);
-    longest = std::max(longest, ends[step]);
+  return LongestChain(workflow_, [&](size_t step) {
+    return RemainingOf(round, static_cast<uint32_t>(step), now);
+  });
+}
+
+size_t WorkflowProgress::MostFailures(uint32_t round, uint32_t step) const {
+  size_t most = 0;
+  for (const Task& task : TasksOf(round, step)) {
+    most = std::max(most, task.failed_runs.size());
   }
-  return longest;
+  return most;
 }
 
 double WorkflowProgress::RemainingWork(uint32_t round) const {
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -113,6 +113,8 @@
   // The time that the longest chain of what is not done takes by the declared
   // run times; a task that runs counts for what is left of its own.
   Duration RemainingChain(uint32_t round, TimePoint now) const;
+  // How often a task of the step has failed, of the one that did so most.
+  size_t MostFailures(uint32_t round, uint32_t step) const;
   // The declared processor time of a round's tasks that are not done, in
   // core-seconds.
   double RemainingWork(uint32_t round) const;
