Learn how long tasks really run, by queue and by step

Change: a guess is drawn towards what steps of its queue took, the more the rougher the queue's guesses have been (dispatch/run_times.h); once two tasks of a step are done in one go, the shortest tells for the others. The order itself is a library now (dispatch/yield_order.h), its behaviour unchanged. Tried before it and not kept: later classes of fillers make way without bound for what can be in time.

--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -183,7 +183,9 @@
   RefitPressure();
   RefreshRoom();
   for (const auto& [id, job] : jobs_) {
-    if (!job->progress.over()) SetYieldOrder(*job, now, unix_now);
+    if (job->progress.over()) continue;
+    ExpectRunTimes(*job);
+    SetYieldOrder(*job, now, unix_now);
   }
   for (auto& [name, vm] : vms_) {
     RunTraitsList changed{options_.epoch, vm.status.life, {}};
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -33,8 +33,6 @@
 // A step that asks for more than this part of a service's processors is taken
 // to run in waves of that size: the users count its objective so.
 constexpr int64_t kWavesOfRoom = 4;
-// Too late to be worth anything to its caller, by LatenessOf.
-constexpr int kTooLate = 2;
 // Runs of an owner are numbered from its epoch times this, so that they are
 // above those of earlier owners without any record of them.
 constexpr uint64_t kRunsPerEpoch = 1000;
@@ -54,13 +52,23 @@
   return std::max<int64_t>(1, (wide + wave - 1) / wave);
 }
 
+void Dispatcher::ExpectRunTimes(Job& job) const {
+  const Workflow& workflow = job.progress.workflow();
+  for (uint32_t i = 0; i < workflow.steps.size(); ++i) {
+    const Duration declared = workflow.steps[i].declared_run;
+    job.progress.set_expected_run(i,
+                                  run_times_.Expect(workflow.queue, declared));
+  }
+}
+
 Duration Dispatcher::AllowedFor(const Job& job, uint32_t round) const {
   const Workflow& workflow = job.progress.workflow();
   const Duration chain = LongestChain(workflow, [&](size_t number) {
     const WorkflowStep& step = workflow.steps[number];
     const auto failures = static_cast<int64_t>(
         job.progress.MostFailures(round, static_cast<uint32_t>(number)));
-    return step.declared_run * (WavesOf(job, step) + failures);
+    return job.progress.ExpectedRun(static_cast<uint32_t>(number)) *
+           (WavesOf(job, step) + failures);
   });
   return std::chrono::duration_cast<Duration>(chain * workflow.policy.stretch) +
          workflow.policy.target_latency;
@@ -75,32 +83,27 @@
   return now + (began - unix_now) + job.allowed;
 }
 
-int Dispatcher::LatenessOf(const Job& job, uint32_t round, TimePoint now,
-                           UnixMillis unix_now) {
+Lateness Dispatcher::LatenessOf(const Job& job, uint32_t round, TimePoint now,
+                                UnixMillis unix_now) {
   const TimePoint due = DueOf(job, round, now, unix_now);
   const TimePoint end = now + job.progress.RemainingChain(round, now);
-  if (end > due + (kLateFactor - 1) * job.allowed) return kTooLate;
-  return end > due ? 1 : 0;
+  if (end > due + (kLateFactor - 1) * job.allowed) return Lateness::kTooLate;
+  return end > due ? Lateness::kLate : Lateness::kInTime;
 }
 
-// The least work first: what is worth most for the processor time that it
-// takes, and soonest out of the way. What comes too late in any case goes by
-// age, so that the oldest gets on.
-double Dispatcher::RankWithin(int lateness, double work, TimePoint due) {
-  if (lateness < kTooLate) return work;
-  return std::chrono::duration<double>(due.time_since_epoch()).count();
+double Dispatcher::OrderOf(const Job& job, uint32_t round, TimePoint now,
+                           UnixMillis unix_now) {
+  return YieldOrder(LatenessOf(job, round, now, unix_now),
+                    job.progress.RemainingWork(round),
+                    DueOf(job, round, now, unix_now));
 }
 
 void Dispatcher::SetYieldOrder(Job& job, TimePoint now, UnixMillis unix_now) {
   const Workflow& workflow = job.progress.workflow();
   for (uint32_t round = 0; round < workflow.rounds(); ++round) {
-    const double work = job.progress.RemainingWork(round);
-    if (work <= 0) continue;
+    if (job.progress.RemainingWork(round) <= 0) continue;
     job.allowed = AllowedFor(job, round);
-    const int lateness = LatenessOf(job, round, now, unix_now);
-    const TimePoint due = DueOf(job, round, now, unix_now);
-    job.yield_order =
-        lateness * kLatenessWeight + RankWithin(lateness, work, due);
+    job.yield_order = OrderOf(job, round, now, unix_now);
     return;
   }
 }
@@ -110,22 +113,21 @@
           job.yield_order};
 }
 
-// On time first, then late, then what earns nothing any more; within these by
-// the queue's priority and then by RankWithin.
+// By lateness, the queue's priority and the order within the class of lateness;
+// what runs until it is cancelled is never late.
 std::vector<Dispatcher::OpenStepRef> Dispatcher::ByUrgency(
     TimePoint now, UnixMillis unix_now) {
-  using Rank = std::tuple<int, int32_t, double, TimePoint>;
+  using Rank = std::tuple<Lateness, int32_t, double, TimePoint>;
   std::vector<std::pair<Rank, OpenStepRef>> ranked;
   for (const auto& [id, job] : jobs_) {
     if (!MayStart(*job)) continue;
     const Workflow& workflow = job->progress.workflow();
     for (const auto& open : job->progress.OpenSteps(unix_now)) {
-      const TimePoint due = DueOf(*job, open.round, now, unix_now);
-      int lateness = LatenessOf(*job, open.round, now, unix_now);
-      if (workflow.steps[open.step].long_running) lateness = 0;
-      const double rank =
-          RankWithin(lateness, job->progress.RemainingWork(open.round), due);
-      ranked.push_back({Rank{lateness, workflow.policy.priority, rank, due},
+      Lateness lateness = LatenessOf(*job, open.round, now, unix_now);
+      if (workflow.steps[open.step].long_running) lateness = Lateness::kInTime;
+      ranked.push_back({Rank{lateness, workflow.policy.priority,
+                             OrderOf(*job, open.round, now, unix_now),
+                             DueOf(*job, open.round, now, unix_now)},
                         {job.get(), open}});
     }
   }
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -117,7 +117,7 @@
   ++counts_.lapsed;
   Job* job = Find(run.task.workflow);
   if (job == nullptr) return;
-  job->progress.OnEnded(run.task, run.run, kind, "");
+  job->progress.OnEnded(run.task, run.run, kind, "", TimePoint());
   run_log_.Note("run_let_go", run, name, std::string(RunEndKindName(kind)));
 }
 
@@ -147,6 +147,7 @@
         task.phase == WorkflowProgress::Phase::kWaiting &&
         run.run >= task.run) {
       job->progress.OnStarted(run.task, run.run, name, now);
+      job->progress.At(run.task).whole = false;  // It began before.
       ++counts_.adopted;
       run_log_.Note("run_adopted", run, name, "");
       return;
@@ -233,6 +234,15 @@
   }
 }
 
+void Dispatcher::LearnRunTime(const Job& job, const TaskRef& ref) {
+  if (!job.progress.StepDone(ref.round, ref.step)) return;
+  const Workflow& workflow = job.progress.workflow();
+  const auto measured = job.progress.MeasuredRun(ref.step);
+  if (!measured) return;
+  run_times_.Observe(workflow.queue, workflow.steps[ref.step].declared_run,
+                     *measured);
+}
+
 void Dispatcher::ApplyEnd(const std::string& name, Vm& vm, const RunEnd& end,
                           TimePoint now) {
   if (end.number <= vm.processed) return;
@@ -249,9 +259,10 @@
   const std::string other_vm = task.vm;
   const bool was_over = job->progress.over();
   NoteOutcome(name, *job, end, now);
-  if (job->progress.OnEnded(run.task, run.run, end.kind, end.checkpoint)) {
+  if (job->progress.OnEnded(run.task, run.run, end.kind, end.checkpoint, now)) {
     MarkDirty(*job);
   }
+  if (end.kind == RunEndKind::kDone) LearnRunTime(*job, run.task);
   if (end.kind == RunEndKind::kDone && held_elsewhere &&
       task.phase == WorkflowProgress::Phase::kDone) {
     Stop(other_vm, vms_[other_vm], other);
@@ -271,7 +282,7 @@
   ++counts_.not_begun;
   Job* job = Find(run.task.workflow);
   if (job == nullptr) return;
-  job->progress.OnEnded(run.task, run.run, RunEndKind::kNotBegun, "");
+  job->progress.OnEnded(run.task, run.run, RunEndKind::kNotBegun, "", now);
   job->progress.At(run.task).not_before = now + kRetryPause;
   if (refused.reason == NotBegunReason::kUnreachable) {
     vm.not_before = now + kUnreachablePause;
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -92,6 +92,7 @@
   job->opened = last_opener == options_.epoch;
   job->inherited = !job->opened && last_opener != 0;
   job->added_at = now;
+  ExpectRunTimes(*job);
   job->allowed = AllowedFor(*job, 0);
   if (record) {
     job->progress.Restore(*record);
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -40,6 +40,8 @@
 #include "beamhill/dispatch/dispatch_messages.h"
 #include "beamhill/dispatch/dispatch_types.h"
 #include "beamhill/dispatch/run_log.h"
+#include "beamhill/dispatch/run_times.h"
+#include "beamhill/dispatch/yield_order.h"
 #include "beamhill/placement/pairwise_interference.h"
 #include "beamhill/placement/serving_layout.h"
 #include "beamhill/placement/worker_health.h"
@@ -284,6 +286,8 @@
   // Counts a run that was done or failed, and its VM's part in that.
   void NoteOutcome(const std::string& name, Job& job, const RunEnd& end,
                    TimePoint now);
+  // Takes in how long a step's tasks ran, once it is done.
+  void LearnRunTime(const Job& job, const TaskRef& ref);
   void ApplyEnd(const std::string& name, Vm& vm, const RunEnd& end,
                 TimePoint now);
   void ApplyNotBegun(const std::string& name, Vm& vm,
@@ -385,6 +389,8 @@
 
   // In dispatch_placement.cc.
   void StartWaiting(TimePoint now, UnixMillis unix_now);
+  // Brings the expected run times of a workflow's steps up to date.
+  void ExpectRunTimes(Job& job) const;
   // How long the round may take: the queue's part more than its longest chain,
   // in which runs that failed count, and a step that is wide for the service's
   // VMs counts in waves.
@@ -393,10 +399,10 @@
   int64_t WavesOf(const Job& job, const WorkflowStep& step) const;
   static TimePoint DueOf(const Job& job, uint32_t round, TimePoint now,
                          UnixMillis unix_now);
-  // 0: on time, 1: late, 2: too late to be worth anything.
-  static int LatenessOf(const Job& job, uint32_t round, TimePoint now,
+  static Lateness LatenessOf(const Job& job, uint32_t round, TimePoint now,
+                             UnixMillis unix_now);
+  static double OrderOf(const Job& job, uint32_t round, TimePoint now,
                         UnixMillis unix_now);
-  static double RankWithin(int lateness, double work, TimePoint due);
   // By the earliest round that is not done.
   void SetYieldOrder(Job& job, TimePoint now, UnixMillis unix_now);
   static TaskTraits TraitsOf(const Job& job, const WorkflowStep& step);
@@ -455,6 +461,7 @@
   std::map<std::string, int64_t> room_;  // Processors of a service's VMs.
   std::set<std::string> unaccounted_;
   WorkerHealth health_;
+  RunTimes run_times_;
   PairwiseInterference interference_;
   uint64_t interference_version_ = 1;
   // By serving and filling image: what the log was told last.
--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -4,6 +4,14 @@
 #include <utility>
 
 namespace beamhill {
+namespace {
+
+// Tasks of a step that are done before they tell how long the others take.
+constexpr int kEnoughMeasured = 2;
+// A usual task over the shortest of its step: the users' differ by some 15 %.
+constexpr double kUnevenness = 1.15;
+
+}  // namespace
 
 std::string_view WorkflowStateName(WorkflowState state) {
   switch (state) {
@@ -42,7 +50,10 @@
 }
 
 WorkflowProgress::WorkflowProgress(Workflow workflow)
-    : workflow_(std::move(workflow)) {
+    : workflow_(std::move(workflow)), measured_(workflow_.steps.size()) {
+  for (const WorkflowStep& step : workflow_.steps) {
+    expected_.push_back(step.declared_run);
+  }
   for (uint32_t round = 0; round < workflow_.rounds(); ++round) {
     for (const WorkflowStep& step : workflow_.steps) {
       tasks_.emplace_back(step.tasks);
@@ -132,16 +143,36 @@
   return open;
 }
 
+std::optional<Duration> WorkflowProgress::MeasuredRun(uint32_t step) const {
+  const Measured& measured = measured_[step];
+  if (measured.runs < kEnoughMeasured) return std::nullopt;
+  return std::chrono::duration_cast<Duration>(kUnevenness * measured.shortest);
+}
+
+Duration WorkflowProgress::ExpectedRun(uint32_t step) const {
+  return MeasuredRun(step).value_or(expected_[step]);
+}
+
+void WorkflowProgress::Measure(const TaskRef& ref, const Task& task,
+                               TimePoint now) {
+  if (task.phase != Phase::kHeld || !task.whole) return;
+  const Duration ran = now - task.held_since;
+  Measured& measured = measured_[ref.step];
+  measured.shortest =
+      measured.runs == 0 ? ran : std::min(measured.shortest, ran);
+  ++measured.runs;
+}
+
 Duration WorkflowProgress::RemainingOf(uint32_t round, uint32_t step,
                                        TimePoint now) const {
   if (StepDone(round, step)) return {};
-  const Duration declared = workflow_.steps[step].declared_run;
+  const Duration expected = ExpectedRun(step);
   Duration longest{};
   for (const Task& task : TasksOf(round, step)) {
     if (task.phase == Phase::kDone) continue;
     const Duration ran =
         task.phase == Phase::kHeld ? now - task.held_since : Duration(0);
-    longest = std::max(longest, declared - ran);
+    longest = std::max(longest, expected - ran);
   }
   return longest;
 }
@@ -164,7 +195,7 @@
   double work = 0;
   for (uint32_t step = 0; step < workflow_.steps.size(); ++step) {
     const WorkflowStep& spec = workflow_.steps[step];
-    const std::chrono::duration<double> each = spec.declared_run;
+    const std::chrono::duration<double> each = ExpectedRun(step);
     work += undone_[Slot(round, step)] * each.count() *
             static_cast<double>(spec.each.cpu_millis) / kMillisOfCore;
   }
@@ -212,6 +243,7 @@
   task.run = std::max(task.run, run);
   task.vm = vm;
   task.held_since = now;
+  task.whole = task.checkpoint.empty();
   begun_ = true;
   if (state_ == WorkflowState::kQueued) state_ = WorkflowState::kRunning;
 }
@@ -251,7 +283,8 @@
 }
 
 bool WorkflowProgress::OnEnded(const TaskRef& ref, uint64_t run,
-                               RunEndKind kind, const std::string& checkpoint) {
+                               RunEndKind kind, const std::string& checkpoint,
+                               TimePoint now) {
   Task& task = At(ref);
   const WorkflowStep& step = workflow_.steps[ref.step];
   if (task.phase == Phase::kDone || over()) {
@@ -259,6 +292,7 @@
     return false;
   }
   if (kind == RunEndKind::kDone && !step.long_running) {
+    if (run == task.run) Measure(ref, task, now);
     if (step.gang) {
       // One member's end counts for all of them.
       std::vector<Task>& all = TasksOf(ref.round, ref.step);
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -12,6 +12,7 @@
 #define BEAMHILL_WORKFLOW_WORKFLOW_PROGRESS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,7 @@
     std::string avoid_vm;  // Where it failed or starved last.
     std::string checkpoint;
     TimePoint held_since{};
+    bool whole = false;  // The held run began then, with the task's beginning.
     TimePoint not_before{};  // Back-off after a refusal or a failure.
   };
 
@@ -110,12 +112,20 @@
     uint32_t step = 0;
   };
   std::vector<OpenStep> OpenSteps(UnixMillis now) const;
-  // The time that the longest chain of what is not done takes by the declared
-  // run times; a task that runs counts for what is left of its own.
+  // What a task of the step is expected to take; as declared at first. Tasks of
+  // the step that are done say it best.
+  Duration ExpectedRun(uint32_t step) const;
+  // What others of its kind make one expect, until some of its own are done.
+  void set_expected_run(uint32_t step, Duration run) { expected_[step] = run; }
+  // By the shortest run of a task of the step that was done in one go, since
+  // others may have been held back; nothing before there are a few.
+  std::optional<Duration> MeasuredRun(uint32_t step) const;
+  // The time that the longest chain of what is not done is expected to take; a
+  // task that runs counts for what is left of its own.
   Duration RemainingChain(uint32_t round, TimePoint now) const;
   // How often a task of the step has failed, of the one that did so most.
   size_t MostFailures(uint32_t round, uint32_t step) const;
-  // The declared processor time of a round's tasks that are not done, in
+  // The expected processor time of a round's tasks that are not done, in
   // core-seconds.
   double RemainingWork(uint32_t round) const;
   // Whether a round that is not yet due remains.
@@ -133,7 +143,7 @@
   // The run is over. Returns whether the stored record has changed. An end of
   // a run other than the held one changes nothing but a `kDone`.
   bool OnEnded(const TaskRef& ref, uint64_t run, RunEndKind kind,
-               const std::string& checkpoint);
+               const std::string& checkpoint, TimePoint now);
   void Cancel();
 
  private:
@@ -141,6 +151,7 @@
     return round * workflow_.steps.size() + step;
   }
   Duration RemainingOf(uint32_t round, uint32_t step, TimePoint now) const;
+  void Measure(const TaskRef& ref, const Task& task, TimePoint now);
   void Settle();
   void MarkDone(const TaskRef& ref, Task& task);
   bool CountFailure(const TaskRef& ref, uint64_t run);
@@ -151,6 +162,13 @@
   bool begun_ = false;
   std::vector<std::vector<Task>> tasks_;  // By round and step.
   std::vector<uint32_t> undone_;          // Tasks not done, by round and step.
+  // By step, over all rounds.
+  struct Measured {
+    int runs = 0;
+    Duration shortest{};
+  };
+  std::vector<Duration> expected_;
+  std::vector<Measured> measured_;
 };
 
 }  // namespace beamhill
--- a/beamhill/workflow/workflow_progress_test.cc
+++ b/beamhill/workflow/workflow_progress_test.cc
@@ -29,7 +29,7 @@
 void RunOnce(WorkflowProgress& progress, const TaskRef& task, uint64_t run,
              RunEndKind kind) {
   progress.OnStarted(task, run, "vm-1", kStart);
-  progress.OnEnded(task, run, kind, "");
+  progress.OnEnded(task, run, kind, "", kStart);
 }
 
 TEST(WorkflowProgressTest, StepWaitsForEveryTaskOfEarlierSteps) {
@@ -69,7 +69,7 @@
 TEST(WorkflowProgressTest, FailureReportedTwiceCountsOnce) {
   WorkflowProgress progress(TwoSteps(2));
   RunOnce(progress, Task(0, 0), 1, RunEndKind::kFailed);
-  progress.OnEnded(Task(0, 0), 1, RunEndKind::kFailed, "");
+  progress.OnEnded(Task(0, 0), 1, RunEndKind::kFailed, "", kStart);
   EXPECT_EQ(progress.state(), WorkflowState::kRunning);
 }
 
@@ -79,7 +79,7 @@
 TEST(WorkflowProgressTest, FailuresHeardOutOfOrderAllCount) {
   WorkflowProgress progress(TwoSteps(3));
   for (const uint64_t run : {3, 5, 1}) {
-    progress.OnEnded(Task(0, 0), run, RunEndKind::kFailed, "");
+    progress.OnEnded(Task(0, 0), run, RunEndKind::kFailed, "", kStart);
   }
   EXPECT_EQ(progress.state(), WorkflowState::kFailed);
 }
@@ -94,16 +94,16 @@
   EXPECT_EQ(second.At(Task(0, 0)).phase, Phase::kDone);
   EXPECT_EQ(second.At(Task(0, 1)).phase, Phase::kWaiting);
   EXPECT_EQ(second.At(Task(0, 1)).run, 7);
-  second.OnEnded(Task(0, 1), 7, RunEndKind::kFailed, "");
+  second.OnEnded(Task(0, 1), 7, RunEndKind::kFailed, "", kStart);
   EXPECT_EQ(second.state(), WorkflowState::kRunning);
-  second.OnEnded(Task(0, 1), 8, RunEndKind::kFailed, "");
+  second.OnEnded(Task(0, 1), 8, RunEndKind::kFailed, "", kStart);
   EXPECT_EQ(second.state(), WorkflowState::kFailed);
 }
 
 TEST(WorkflowProgressTest, EndOfAnEarlierRunLeavesTheHeldOne) {
   WorkflowProgress progress(TwoSteps(2));
   progress.OnStarted(Task(0, 0), 2, "vm-2", kStart);
-  progress.OnEnded(Task(0, 0), 1, RunEndKind::kLapsed, "");
+  progress.OnEnded(Task(0, 0), 1, RunEndKind::kLapsed, "", kStart);
   EXPECT_EQ(progress.At(Task(0, 0)).phase, Phase::kHeld);
   EXPECT_EQ(progress.At(Task(0, 0)).vm, "vm-2");
 }
@@ -143,7 +143,7 @@
   WorkflowProgress progress(TwoSteps(2));
   progress.OnStarted(Task(0, 0), 1, "vm-1", kStart);
   progress.Cancel();
-  progress.OnEnded(Task(0, 0), 1, RunEndKind::kDone, "");
+  progress.OnEnded(Task(0, 0), 1, RunEndKind::kDone, "", kStart);
   EXPECT_EQ(progress.state(), WorkflowState::kCancelled);
   EXPECT_THAT(progress.OpenSteps(kNow), SizeIs(0));
 }
