Refuse at once, and unsent, while the store answers nobody

Change: a scheduler that the store has not answered for 0.9 s, whose owner says the same of itself (the owner asks each 0.4 s, and the next probe no longer waits for one that a silent store never answers), refuses submissions at once with 503, also those that wait behind an unanswered call; none of these was sent. Tests: NothingIsSentToATableThatIsKnownToBeSilent, WhatWaitsBehindAnUnansweredCallIsRefusedUnsent.

--- a/beamhill/scheduler/job_desk.cc
+++ b/beamhill/scheduler/job_desk.cc
@@ -12,6 +12,9 @@
 // Each workflow takes two of a transaction's 100 entries and up to some
 // kilobytes of its megabyte.
 constexpr size_t kMaxBatch = 40;
+// How long a submission waits for a silent table: some tries of the scheduler
+// to get an answer, and far less than callers wait.
+constexpr Duration kPatience = std::chrono::milliseconds(500);
 
 CancelResult CancelResultOf(CommitResult result) {
   switch (result) {
@@ -67,10 +70,22 @@
 
 void JobDesk::Submit(const Workflow& workflow,
                      std::function<void(SubmitResult)> done) {
+  if (table_silent_) {
+    done(SubmitResult::kRefused);
+    return;
+  }
   waiting_.push_back({workflow, std::move(done)});
   SendWaiting();
 }
 
+void JobDesk::SetTableSilent(bool silent) {
+  table_silent_ = silent;
+  if (!silent) return;
+  for (const Submission& submission : std::exchange(waiting_, {})) {
+    submission.done(SubmitResult::kRefused);
+  }
+}
+
 void JobDesk::SendWaiting() {
   while (!waiting_.empty() && open_ < kMaxOpen) {
     const size_t size = std::min(waiting_.size(), kMaxBatch);
--- a/beamhill/scheduler/job_desk.h
+++ b/beamhill/scheduler/job_desk.h
@@ -7,6 +7,11 @@
 // Submissions that come while transactions are open share the next one, so
 // that a slow table gets fewer of them.
 //
+// While the table is known to answer nobody, submissions are not sent: each
+// would end without a clear answer, after which callers can't try again. They
+// wait for a moment, since the table may be back by then, and are refused
+// unsent.
+//
 //   JobDesk desk(table);
 //   desk.Submit(workflow, [](SubmitResult result) { ... });
 #ifndef BEAMHILL_SCHEDULER_JOB_DESK_H_
@@ -67,6 +72,8 @@
 
   // Stores the workflow, unless one of its id is stored.
   void Submit(const Workflow& workflow, std::function<void(SubmitResult)> done);
+  // Whether the table is known to answer nobody. Refuses what waits if so.
+  void SetTableSilent(bool silent);
   // Stores that the workflow is cancelled, if it is stored.
   void Cancel(const std::string& workflow,
               std::function<void(CancelResult)> done);
@@ -100,6 +107,7 @@
   Table table_;
   std::vector<Submission> waiting_;
   int open_ = 0;
+  bool table_silent_ = false;
   Lifetime lifetime_;
 };
 
--- a/beamhill/scheduler/job_desk_test.cc
+++ b/beamhill/scheduler/job_desk_test.cc
@@ -49,6 +49,29 @@
   EXPECT_EQ(Submit("a"), SubmitResult::kAlreadyStored);
 }
 
+// Found on the large site (scale-2): all that came while the store had been
+// silent for seconds was sent, and ended without a clear answer.
+TEST_F(JobDeskTest, NothingIsSentToATableThatIsKnownToBeSilent) {
+  desk_.SetTableSilent(true);
+  EXPECT_EQ(Submit("a"), SubmitResult::kRefused);
+  EXPECT_TRUE(table_.model().rows().empty());
+  desk_.SetTableSilent(false);
+  EXPECT_EQ(Submit("a"), SubmitResult::kAccepted);
+}
+
+// What waits behind a transaction that the table has not answered is unsent.
+TEST_F(JobDeskTest, WhatWaitsBehindAnUnansweredCallIsRefusedUnsent) {
+  table_.set_fault(TableFault::kAnswerLost);
+  SubmitResult first = SubmitResult::kAccepted;
+  SubmitResult second = SubmitResult::kAccepted;
+  desk_.Submit(Job("a"), [&](SubmitResult r) { first = r; });
+  desk_.Submit(Job("b"), [&](SubmitResult r) { second = r; });
+  desk_.SetTableSilent(true);
+  EXPECT_EQ(second, SubmitResult::kRefused);
+  table_.Deliver();
+  EXPECT_EQ(first, SubmitResult::kUnknown);
+}
+
 struct FaultCase {
   TableFault fault;
   SubmitResult submitted;
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -17,6 +17,10 @@
 constexpr Duration kProbeAfter = std::chrono::milliseconds(400);
 // It counts as out of reach after so long: longer than a call's timeout.
 constexpr Duration kStoreSilence = std::chrono::milliseconds(1800);
+// An owner has a transaction or a probe answered each 0.4 s, and says so each
+// 0.3 s: when it has been without for so long, and this process as well, the
+// table answers nobody.
+constexpr Duration kSilentForAll = std::chrono::milliseconds(900);
 // Added to inherited bounds for messages on their way.
 constexpr Duration kBoundMargin = std::chrono::milliseconds(500);
 
@@ -181,7 +185,7 @@
   if (!peer_served_since_) {
     peer_served_since_ = now;
     // The store may be back for all; an earlier probe may be lost.
-    probing_ = false;
+    probed_at_ = TimePoint{};
     ProbeStore();
   }
   own.peer_served_for = now - *peer_served_since_;
@@ -200,22 +204,34 @@
   return hooks_.store_silence() < kStoreSilence;
 }
 
+// A call to a silent table may never be answered, also once it is back: so the
+// next probe doesn't wait for the last one.
 void Scheduler::ProbeStore() {
-  if (probing_ || hooks_.store_silence() < kProbeAfter) return;
-  probing_ = true;
+  const TimePoint now = BootClock::now();
+  if (now - probed_at_ < kProbeAfter) return;
+  if (hooks_.store_silence() < kProbeAfter) return;
+  probed_at_ = now;
   table_.read({OwnershipKeeperOptions().row_key},
-              lifetime_.Guard([this](const Result<std::vector<Row>>&) {
-                probing_ = false;
-              }));
+              [](const Result<std::vector<Row>>&) {});
+}
+
+bool Scheduler::StoreIsSilent() const {
+  if (hooks_.store_silence() < kSilentForAll) return false;
+  if (keeper_->owns()) return true;
+  const TimePoint now = BootClock::now();
+  const bool owner_heard = now - owner_heard_at_ < kOwnerSilence;
+  return owner_heard && now - owner_served_at_ >= kSilentForAll;
 }
 
 void Scheduler::Tick() {
   retired_peers_.clear();
   retired_owner_.reset();
   retired_announcements_.reset();
-  keeper_->Tick();
   const TimePoint now = BootClock::now();
-  if (keeper_->owns()) ProbeStore();
+  keeper_->Tick();
+  const bool silent = StoreIsSilent();
+  if (keeper_->owns() || silent) ProbeStore();
+  desk_.SetTableSilent(silent);
   HandOverIfDue();
   QueryPeers(now);
   DropOldNotices(now);
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -122,6 +122,8 @@
   void HandOverIfDue();
   // Asks the table for a sign of life when it has given none for a while.
   void ProbeStore();
+  // Whether the table answers neither this process nor the owner.
+  bool StoreIsSilent() const;
   bool StoreAnswers() const;
   void Tick();
 
@@ -188,11 +190,13 @@
   OpenCalls<uint8_t> relays_;  // Answered by the number of the result.
   uint64_t next_call_ = 1;     // Numbers questions and relayed calls.
   bool owner_store_answers_ = false;
+  // When the table last answered the owner, by the owner's word.
+  TimePoint owner_served_at_{};
   TimePoint owner_heard_at_{};
   TimePoint taken_at_{};  // When this process took the ownership.
   // While it owns the work: since when a peer is served by the table.
   std::optional<TimePoint> peer_served_since_;
-  bool probing_ = false;
+  TimePoint probed_at_{};
   DialedPeers queries_;  // While neither the table nor an owner is heard.
   // Addresses of schedulers, as the owner told them.
   std::set<std::string> known_peers_;
--- a/beamhill/scheduler/scheduler_peers.cc
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -61,6 +61,7 @@
     if (beat->epoch >= followed_.epoch) keeper_->OnOwnerHeard(beat->epoch);
     owner_heard_at_ = BootClock::now();
     owner_store_answers_ = beat->store_silence < kOwnerCutOff;
+    owner_served_at_ = owner_heard_at_ - beat->store_silence;
     known_peers_.insert(beat->peers.begin(), beat->peers.end());
     // The answer, if there is one, makes this process a successor.
     if (beat->store_silence >= kOwnerCutOff) ProbeStore();
--- a/beamhill/scheduler/work_owner_test.cc
+++ b/beamhill/scheduler/work_owner_test.cc
@@ -21,8 +21,8 @@
  public:
   VmWithUnknownWork(EventLoop& loop, std::string name)
       : name_(std::move(name)) {
-    auto listener = LinkListener::Listen(
-        loop, {"127.0.0.1", 0}, [this](Link&) { return Hooks(); });
+    auto listener = LinkListener::Listen(loop, {"127.0.0.1", 0},
+                                         [this](Link&) { return Hooks(); });
     listener_ = std::move(ValueOf(listener));
     // Its link stays up by its heartbeats, whatever else is missing.
     beat_ = loop.Every(milliseconds(100), [this] {
