Heed late registrations and connections that go silent

A pool that timed out on one connection went on to use its others, which go silent with it: each cost a call its timeout. Change: an executor remembers the last 16 lives that a later one has followed and ignores them, with a log line; after a timeout a pool closes its idle connections.

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -11,6 +11,10 @@
 // shorter.
 constexpr int64_t kClockErrorPermille = 20;
 
+// Lives that are remembered, to know late registrations of them: these are
+// seconds late, and a runner takes longer to come back.
+constexpr size_t kEarlierLives = 16;
+
 bool SameStatus(const VmStatus& a, const VmStatus& b) {
   return a.life == b.life && a.service == b.service && a.hall == b.hall &&
          a.labels == b.labels && a.capacity == b.capacity &&
@@ -59,8 +63,24 @@
   pacer_ = Pacer();
 }
 
+bool Executor::IsEarlierLife(const std::string& life) const {
+  return std::find(earlier_lives_.begin(), earlier_lives_.end(), life) !=
+         earlier_lives_.end();
+}
+
+void Executor::NoteEarlierLife(const std::string& life) {
+  if (life.empty()) return;
+  earlier_lives_.push_back(life);
+  if (earlier_lives_.size() > kEarlierLives) earlier_lives_.pop_front();
+}
+
 void Executor::OnRunner(const VmStatus& status,
                         std::optional<RunnerClock> clock) {
+  if (IsEarlierLife(status.life)) {
+    hooks_.log("late_registration", "",
+               status.life + " was followed by " + status_.life);
+    return;
+  }
   const bool new_life = status.life != status_.life;
   const bool changed = !SameStatus(status, status_);
   if (new_life) {
@@ -70,6 +90,7 @@
                status.life + " after " +
                    (status_.life.empty() ? "none" : status_.life) + ", labels" +
                    labels);
+    NoteEarlierLife(status_.life);
     ResetLife();
     leaving_since_.reset();
     runner_is_gone_ = false;
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -14,6 +14,7 @@
 #define BEAMHILL_EXECUTOR_EXECUTOR_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -65,7 +66,8 @@
   Executor(const ExecutorOptions& options, TaskRunner runner,
            ExecutorHooks hooks);
 
-  // The runner has registered or renewed its registration.
+  // The runner has registered or renewed its registration. One of an earlier
+  // life, which was long on its way, changes nothing.
   void OnRunner(const VmStatus& status, std::optional<RunnerClock> clock);
   // The runner of that life has said that it ends now.
   void OnRunnerLeft(const std::string& life);
@@ -107,6 +109,9 @@
   // Whether it comes from the owner that is obeyed, and concerns the runner's
   // present life; counts those that don't.
   bool IsCurrent(uint64_t link, uint64_t epoch, const std::string& life);
+  // Whether a later life has registered since.
+  bool IsEarlierLife(const std::string& life) const;
+  void NoteEarlierLife(const std::string& life);
   // Forgets all that belongs to one life of the runner.
   void ResetLife();
   void NoteClock(const std::optional<RunnerClock>& clock);
@@ -189,6 +194,8 @@
   TimePoint last_heartbeat_{};
 
   VmStatus status_;
+  // Lives of the runner that a later one has followed, the newest last.
+  std::deque<std::string> earlier_lives_;
   std::optional<TimePoint> leaving_since_;
   bool runner_is_gone_ = false;
   RunnerClock clock_{};  // The runner's reading at `clock_at_`.
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -420,6 +420,22 @@
   EXPECT_EQ(paces_[1].first.percent, 10);
 }
 
+// A registration that a cut has held up arrives when its sender has crashed and
+// a new life has registered: it must not bring the dead one back.
+TEST_F(ExecutorTest, LateRegistrationOfAnEarlierLifeChangesNothing) {
+  Register("life-1");
+  Register("life-2");
+  Attach(1);
+  Start(kRun, 1);
+  ASSERT_THAT(starts_, SizeIs(1));
+  Register("life-1");
+  EXPECT_EQ(executor_->status().life, "life-2");
+  starts_[0].second({RunnerVerdict::kDone, std::nullopt});
+  Register("life-3");
+  Register("life-2");
+  EXPECT_EQ(executor_->status().life, "life-3");
+}
+
 // It begins at full speed, and until the next look nobody would hold it.
 TEST_F(ExecutorTest, NewFillerIsHeldToThePaceOfItsImageAtOnce) {
   FillBesideASufferingService();
--- a/beamhill/http/http_client.cc
+++ b/beamhill/http/http_client.cc
@@ -138,8 +138,17 @@
     pending->owner->Finish(pending, std::move(outcome), reuse);
   }
 
+  // Connections of a pool go silent together, when what lies between does; so
+  // after one that did, the idle ones are not trusted with a call either.
+  void DropIdle() {
+    for (evhttp_connection* connection : std::exchange(idle, {})) {
+      FreeLater(connection);
+    }
+  }
+
   void OnDeadline(Pending* pending) {
     evhttp_cancel_request(pending->raw);
+    DropIdle();
     HttpOutcome outcome;
     outcome.timed_out = true;
     Finish(pending, std::move(outcome), false);
