--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -27,9 +27,6 @@
 constexpr double kAvoided = 8;
 // What ends later than this many times its objective earns nothing.
 constexpr int kLateFactor = 3;
-// Above the work of any workflow in core-seconds, and above any time in
-// seconds: what is late yields to all that is not.
-constexpr double kLatenessWeight = 1e9;
 // A step that asks for more than this part of a service's processors is taken
 // to run in waves of that size: the users count its objective so.
 constexpr int64_t kWavesOfRoom = 4;
--- a/beamhill/replay/replay_main.cc
+++ b/beamhill/replay/replay_main.cc
@@ -2,44 +2,14 @@
 // for each seed: beamhill-replay --seeds 6 --vms 15 --filling 1.7.
 #include <tclap/CmdLine.h>
 
-#include <algorithm>
 #include <chrono>
 #include <cstdio>
-#include <vector>
 
 #include "beamhill/replay/load_replay.h"
 
 namespace beamhill {
 namespace {
 
-void Deciles(const ReplayOutcome& outcome) {
-  std::vector<const ReplayedWorkflow*> all;
-  for (const auto& w : outcome.workflows)
-    if (w.fills) all.push_back(&w);
-  std::sort(all.begin(), all.end(),
-            [](auto a, auto b) { return a->core_seconds < b->core_seconds; });
-  for (size_t q = 0; q < 6; ++q) {
-    size_t from = all.size() * q / 6, to = all.size() * (q + 1) / 6;
-    int in = 0, late = 0;
-    double work = 0, took = 0;
-    int n = 0;
-    for (size_t i = from; i < to; ++i) {
-      work += all[i]->core_seconds;
-      in += all[i]->credit() == 1;
-      late += all[i]->credit() > 0 && all[i]->credit() < 1;
-      if (all[i]->took) {
-        took += ToMillis(*all[i]->took) / ToMillis(all[i]->objective);
-        ++n;
-      }
-    }
-    std::printf(
-        "   sixth %zu: work %.0f in time %.2f late %.2f took/objective %.2f of "
-        "%d/%zu\n",
-        q, work / (to - from), double(in) / (to - from),
-        double(late) / (to - from), took / std::max(n, 1), n, to - from);
-  }
-}
-
 void Print(uint64_t seed, const ReplayOutcome& outcome) {
   std::printf(
       "%4llu filling %.3f quick %.3f unfinished %zu idle_s %.1f harm %.4f "
@@ -88,7 +58,6 @@
         std::chrono::duration<double>(drain.getValue()));
     const ReplayOutcome outcome = PlayLoad(load);
     Print(load.seed, outcome);
-    if (getenv("DECILES")) Deciles(outcome);
     sum += outcome.Earned(true);
     const double played = traffic.getValue() + drain.getValue();
     for (const auto& [part, seconds] : outcome.owner_seconds) {
--- a/beamhill/scheduler/job_desk.cc
+++ b/beamhill/scheduler/job_desk.cc
@@ -12,9 +12,6 @@
 // Each workflow takes two of a transaction's 100 entries and up to some
 // kilobytes of its megabyte.
 constexpr size_t kMaxBatch = 40;
-// How long a submission waits for a silent table: some tries of the scheduler
-// to get an answer, and far less than callers wait.
-constexpr Duration kPatience = std::chrono::milliseconds(500);
 
 CancelResult CancelResultOf(CommitResult result) {
   switch (result) {
