Keep shared submissions below the table's entries

JobDesk put up to 40 submissions into one, counting two entries each; the condition that a workflow is new is a third, so 34 and more were over 100 and were refused though a smaller one would have been taken. Change: 33 at most. The header's text on a silent table says what is done now. Test, failing before (120 entries): TransactionsStayBelowTheTablesLimit.

--- a/beamhill/scheduler/job_desk.cc
+++ b/beamhill/scheduler/job_desk.cc
@@ -9,9 +9,9 @@
 // Transactions of submissions that may be open at a time. The store takes
 // those of one part one after another, so that more only wait there.
 constexpr int kMaxOpen = 1;
-// Each workflow takes two of a transaction's 100 entries and up to some
-// kilobytes of its megabyte.
-constexpr size_t kMaxBatch = 40;
+// Each workflow takes three of a transaction's 100 entries (the condition that
+// it is new, its row and its marker) and up to some kilobytes of its megabyte.
+constexpr size_t kMaxBatch = 33;
 
 CancelResult CancelResultOf(CommitResult result) {
   switch (result) {
--- a/beamhill/scheduler/job_desk.h
+++ b/beamhill/scheduler/job_desk.h
@@ -7,10 +7,9 @@
 // Submissions that come while transactions are open share the next one, so
 // that a slow table gets fewer of them.
 //
-// While the table is known to answer nobody, submissions are not sent: each
-// would end without a clear answer, after which callers can't try again. They
-// wait for a moment, since the table may be back by then, and are refused
-// unsent.
+// While the table is known to answer nobody, submissions are refused at once
+// and unsent: one that is sent ends without a clear answer, after which callers
+// can't try again.
 //
 //   JobDesk desk(table);
 //   desk.Submit(workflow, [](SubmitResult result) { ... });
--- a/beamhill/scheduler/job_desk_test.cc
+++ b/beamhill/scheduler/job_desk_test.cc
@@ -3,6 +3,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "beamhill/scheduler/scheduler.h"
 #include "beamhill/testing/faulty_table.h"
 
@@ -72,6 +74,33 @@
   EXPECT_EQ(first, SubmitResult::kUnknown);
 }
 
+// Found on the large site's incident: the store refused a transaction of ours
+// for its entries. It counts a condition, a row and a marker for each workflow.
+TEST_F(JobDeskTest, TransactionsStayBelowTheTablesLimit) {
+  constexpr size_t kMostEntries = 100;
+  size_t most = 0;
+  Table counting = table_.AsTable();
+  counting.commit = [&](Transaction transaction, CommitDone done) {
+    size_t entries = transaction.checks.size() + transaction.writes.size();
+    for (const RowWrite& write : transaction.writes) {
+      if (write.expected_version != kAnyVersion) ++entries;
+    }
+    most = std::max(most, entries);
+    table_.AsTable().commit(std::move(transaction), std::move(done));
+  };
+  JobDesk desk(counting);
+  int accepted = 0;
+  for (int i = 0; i < 90; ++i) {
+    desk.Submit(Job("j" + std::to_string(i)), [&](SubmitResult result) {
+      accepted += static_cast<int>(result == SubmitResult::kAccepted);
+    });
+  }
+  table_.Deliver();
+  EXPECT_EQ(accepted, 90);
+  EXPECT_LE(most, kMostEntries);
+  EXPECT_GT(most, kMostEntries / 2);  // They do share transactions.
+}
+
 struct FaultCase {
   TableFault fault;
   SubmitResult submitted;
