Keep lasting tasks at work beside failing VMs and quick work

Change: a VM in quarantine is probed by what began since, beside what lasts there; a lasting probe passes after 5 s; a lasting task that ran before and has been away for 2.5 s need not wait for the probe; room is kept for lasting tasks that wait; nothing is moved while some wait.

--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -163,6 +163,8 @@
 }
 
 void Dispatcher::RelocateServing(TimePoint now) {
+  // While lasting tasks wait for room, one that is moved may find none.
+  if (!kept_room_.empty()) return;
   std::vector<Relocation> plans;
   for (const auto& [name, vm] : vms_) {
     if (!vm.answered || vm.serving.size() < 2) continue;
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -252,7 +252,8 @@
     return false;
   }
   if (step.fills && !HasRoomToFill(vm, job, step)) return false;
-  return health_.MayPlace(name, vm.held.size(), now);
+  return LeavesKeptRoom(name, vm, step) &&
+         IsHealthyFor(name, vm, job, step, now);
 }
 
 // Lower is better. What fills goes where most processor time is left over
@@ -349,6 +350,7 @@
   const Workflow& workflow = job.progress.workflow();
   const WorkflowStep& step = workflow.steps[ref.step];
   Hold(vm, {ref, run}, job, step);
+  vm.held[{ref, run}].since = now;
   job.idle_since.reset();
   const std::string checkpoint =
       step.saves_progress ? job.progress.At(ref).checkpoint : "";
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -112,18 +112,18 @@
 }
 
 void Dispatcher::LetGo(const std::string& name, Vm& vm, RunRef run,
-                       RunEndKind kind) {
+                       RunEndKind kind, TimePoint now) {
   Release(vm, run);
   ++counts_.lapsed;
   Job* job = Find(run.task.workflow);
   if (job == nullptr) return;
-  job->progress.OnEnded(run.task, run.run, kind, "", TimePoint());
+  job->progress.OnEnded(run.task, run.run, kind, "", now);
   run_log_.Note("run_let_go", run, name, std::string(RunEndKindName(kind)));
 }
 
-void Dispatcher::LetGoAll(const std::string& name, Vm& vm) {
+void Dispatcher::LetGoAll(const std::string& name, Vm& vm, TimePoint now) {
   while (!vm.held.empty()) {
-    LetGo(name, vm, vm.held.begin()->first, RunEndKind::kLapsed);
+    LetGo(name, vm, vm.held.begin()->first, RunEndKind::kLapsed, now);
   }
 }
 
@@ -158,10 +158,10 @@
 }
 
 void Dispatcher::TakeInventoryStatus(const std::string& name, Vm& vm,
-                                     const VmStatus& status) {
+                                     const VmStatus& status, TimePoint now) {
   if (status.life != vm.status.life) {
     // Another life of the runner: all that the earlier one ran is gone.
-    LetGoAll(name, vm);
+    LetGoAll(name, vm, now);
     vm.processed = 0;
     vm.settled = 0;
   }
@@ -191,7 +191,7 @@
   }
   state.unknown_tries = 0;
   state.told.clear();  // Its executor may be another.
-  TakeInventoryStatus(vm, state, inventory.status);
+  TakeInventoryStatus(vm, state, inventory.status, now);
   state.answered = true;
   // Good until the first lease: what is reported here runs under leases that
   // are not longer than ours.
@@ -225,9 +225,12 @@
   if (!failed && end.kind != RunEndKind::kDone) return;
   ++(failed ? counts_.failed : counts_.done);
   const TaskRef& ref = end.run.task;
-  health_.OnEnded(name, ref.workflow, failed, now);
-  if (!failed) return;
   WorkflowProgress::Task& task = job.progress.At(ref);
+  // What failed of the runs from before a VM's quarantine is no news of it.
+  const auto quarantined = health_.QuarantinedSince(name);
+  const bool news = !quarantined || task.held_since >= *quarantined;
+  if (!failed || news) health_.OnEnded(name, ref.workflow, failed, now);
+  if (!failed) return;
   task.avoid_vm = name;
   if (!job.progress.workflow().steps[ref.step].long_running) {
     task.not_before = now + kRetryPause;
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -219,7 +219,7 @@
   for (auto& [name, vm] : vms_) {
     if (vm.held.empty() || !IsPast(vm.lease_bound, now)) continue;
     Decide("", "vm_lapsed", name);
-    LetGoAll(name, vm);
+    LetGoAll(name, vm, now);
     if (vm.answered) {
       vm.answered = false;
       vm.leased = false;
@@ -238,6 +238,7 @@
     RefreshOrder(now, unix_now);
     MoveStarved(now);
     RefreshLayout(now);
+    RefreshLasting(now);
     StartWaiting(now, unix_now);
   }
   if (now - runs_logged_at_ < kRunLogInterval) return;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -174,6 +174,9 @@
     // It was idle for too long: until it gets on by itself, with two runs at a
     // time, one run of it is always at work.
     bool kept_going = false;
+    // Since when its lasting task that has been away longest is; nothing while
+    // none is.
+    std::optional<TimePoint> away_since;
     // By round and step; for queues whose placement an advisor restricts.
     std::map<std::pair<uint32_t, uint32_t>, StepAdvice> advice;
   };
@@ -184,6 +187,7 @@
     Duration tail_target{};  // Above zero: it serves.
     double yield_order = 0;  // Of a filler, as its executor knows it.
     std::optional<TimePoint> starved_since;
+    TimePoint since{};  // When it was ordered; the epoch for an adopted one.
     bool stopping = false;
   };
   struct ServingImage {
@@ -269,15 +273,16 @@
   // start again elsewhere from their checkpoints.
   void Evacuate(const std::string& name, Vm& vm);
   // Takes the run by value: it may lie in the table that it is erased from.
-  void LetGo(const std::string& name, Vm& vm, RunRef run, RunEndKind kind);
-  void LetGoAll(const std::string& name, Vm& vm);
+  void LetGo(const std::string& name, Vm& vm, RunRef run, RunEndKind kind,
+             TimePoint now);
+  void LetGoAll(const std::string& name, Vm& vm, TimePoint now);
   // Whether every workflow with a run in the inventory is known here.
   bool AllKnown(const VmInventory& inventory);
   // Takes over a run that an inventory shows; stops it when it is no run of
   // a waiting task.
   void Adopt(const std::string& name, Vm& vm, const RunRef& run, TimePoint now);
   void TakeInventoryStatus(const std::string& name, Vm& vm,
-                           const VmStatus& status);
+                           const VmStatus& status, TimePoint now);
   // Stops the held runs that an inventory doesn't show, and again those that
   // were to be stopped before it.
   void StopMissing(const std::string& name, Vm& vm,
@@ -387,6 +392,24 @@
   void RelocateServing(TimePoint now);
   void Relocate(const Relocation& plan, TimePoint now);
 
+  // In dispatch_lasting.cc.
+  // Keeps room free for lasting tasks that wait, and lets probes pass.
+  void RefreshLasting(TimePoint now);
+  // Ends the quarantine of VMs on which a lasting task has stayed at work.
+  void PassLastingProbes(TimePoint now);
+  // Keeps a VM's room free for each lasting task that waits for too long.
+  void KeepRoomForLasting(TimePoint now);
+  void KeepRoomFor(const Job& job, const WorkflowStep& step);
+  // Whether the step leaves the VM's room that is kept for a lasting task.
+  bool LeavesKeptRoom(const std::string& name, const Vm& vm,
+                      const WorkflowStep& step) const;
+  // Runs there that began after the VM's quarantine did.
+  size_t ProbesOn(const std::string& name, const Vm& vm) const;
+  // Whether the VM's health allows a task of the step there. One that lasts
+  // and has been away for too long need not wait for the next probe.
+  bool IsHealthyFor(const std::string& name, const Vm& vm, const Job& job,
+                    const WorkflowStep& step, TimePoint now) const;
+
   // In dispatch_placement.cc.
   void StartWaiting(TimePoint now, UnixMillis unix_now);
   // Brings the expected run times of a workflow's steps up to date.
@@ -452,6 +475,9 @@
   TimePoint order_refreshed_at_{};
   TimePoint idle_refreshed_at_{};
   TimePoint layout_at_{};
+  TimePoint lasting_refreshed_at_{};
+  // By VM: the room there that is kept for a lasting task.
+  std::map<std::string, Resources> kept_room_;
   ServingLayout layout_;
   ServingLayout::Demands filler_demand_;
   std::map<std::string, Duration> tail_targets_;  // By serving image.
--- a/beamhill/placement/worker_health.cc
+++ b/beamhill/placement/worker_health.cc
@@ -64,6 +64,7 @@
   }
   if (!IsSuspect(worker)) return;
   worker.quarantined = true;
+  worker.quarantined_at = now;
   worker.wait = kFirstWait;
   worker.probe_at = now + worker.wait;
 }
@@ -86,6 +87,12 @@
   return it != workers_.end() && it->second.quarantined;
 }
 
+std::optional<TimePoint> WorkerHealth::QuarantinedSince(
+    const std::string& vm) const {
+  if (!IsQuarantined(vm)) return std::nullopt;
+  return workers_.at(vm).quarantined_at;
+}
+
 std::vector<std::string> WorkerHealth::Quarantined() const {
   std::vector<std::string> vms;
   for (const auto& [vm, worker] : workers_) {
--- a/beamhill/placement/worker_health.h
+++ b/beamhill/placement/worker_health.h
@@ -15,6 +15,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,6 +39,8 @@
   bool MayStart(const std::string& job, size_t running, TimePoint now) const;
 
   bool IsQuarantined(const std::string& vm) const;
+  // Since when it is; nothing when it isn't.
+  std::optional<TimePoint> QuarantinedSince(const std::string& vm) const;
   bool FailsEverywhere(const std::string& job) const;
   std::vector<std::string> Quarantined() const;
 
@@ -46,6 +49,7 @@
     uint32_t failures_in_a_row = 0;
     std::set<std::string> failed_jobs;  // Of those failures.
     bool quarantined = false;
+    TimePoint quarantined_at{};
     TimePoint probe_at{};
     Duration wait{};
   };
--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -255,8 +255,9 @@
   --undone_[Slot(ref.round, ref.step)];
 }
 
-void WorkflowProgress::StopHolding(Task& task, uint64_t run) {
+void WorkflowProgress::StopHolding(Task& task, uint64_t run, TimePoint now) {
   if (task.phase != Phase::kHeld || run < task.run) return;
+  task.away_since = now;
   task.phase = Phase::kWaiting;
   task.vm.clear();
 }
@@ -288,7 +289,7 @@
   Task& task = At(ref);
   const WorkflowStep& step = workflow_.steps[ref.step];
   if (task.phase == Phase::kDone || over()) {
-    StopHolding(task, run);
+    StopHolding(task, run, now);
     return false;
   }
   if (kind == RunEndKind::kDone && !step.long_running) {
@@ -305,7 +306,7 @@
     Settle();
     return true;
   }
-  StopHolding(task, run);
+  StopHolding(task, run, now);
   if (!checkpoint.empty()) task.checkpoint = checkpoint;
   return kind == RunEndKind::kFailed && CountFailure(ref, run);
 }
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -89,6 +89,8 @@
     std::string avoid_vm;  // Where it failed or starved last.
     std::string checkpoint;
     TimePoint held_since{};
+    // When its last run ended; nothing before its first one.
+    std::optional<TimePoint> away_since;
     bool whole = false;  // The held run began then, with the task's beginning.
     TimePoint not_before{};  // Back-off after a refusal or a failure.
   };
@@ -155,7 +157,7 @@
   void Settle();
   void MarkDone(const TaskRef& ref, Task& task);
   bool CountFailure(const TaskRef& ref, uint64_t run);
-  void StopHolding(Task& task, uint64_t run);
+  void StopHolding(Task& task, uint64_t run, TimePoint now);
 
   Workflow workflow_;
   WorkflowState state_ = WorkflowState::kQueued;
