Let fillers work at their whole pace under load, bounded by rests

Cause: fillers were cut as soon as a tail neared its target and got their pace back by 12 % each 0.3 s. Read off the owner's summaries: 1,300 of some 2,400 free cores used while 4,500 were waited for. Samples, logged, are smooth and halve in 0.3 s; tails reach ten times their target at peaks of a task's own load, which pass within seconds, so that cutting at the first sight of one is mostly in vain. Change: HarmGuard, in place of the fixed rest: after 2 s over a target all fillers of the VM rest until no tail is near its target, 1.4 s at most; a rest counts from when no filler is seen at work; a pace order without an answer for 0.2 s, and a filler that works though it rests, are ordered again. FillerLoad tells the owner by what fillers ask for against what there is whether executors only guard (above 1.2) or hold back as before (below 0.7).

--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -182,6 +182,7 @@
   order_refreshed_at_ = now;
   RefitPressure();
   RefreshRoom();
+  RefreshPacePolicy(unix_now);
   for (const auto& [id, job] : jobs_) {
     if (job->progress.over()) continue;
     ExpectRunTimes(*job);
--- a/beamhill/dispatch/dispatch_messages.cc
+++ b/beamhill/dispatch/dispatch_messages.cc
@@ -52,6 +52,10 @@
   return "unhealthy";
 }
 
+std::string_view PacePolicyName(PacePolicy policy) {
+  return policy == PacePolicy::kGuarded ? "guarded" : "cautious";
+}
+
 std::string EncodeDispatch(const DispatchMessage& message) {
   return messages_internal::EncodeMessage<Codec>(message);
 }
--- a/beamhill/dispatch/dispatch_pressure.cc
+++ b/beamhill/dispatch/dispatch_pressure.cc
@@ -1,5 +1,6 @@
 // The part of Dispatcher that learns how filling tasks disturb serving ones.
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "beamhill/dispatch/dispatcher.h"
@@ -88,6 +89,45 @@
   }
 }
 
+double Dispatcher::WaitingFillerCores(UnixMillis unix_now) const {
+  double cores = 0;
+  for (const auto& [id, job] : jobs_) {
+    if (!MayStart(*job)) continue;
+    for (const auto& open : job->progress.OpenSteps(unix_now)) {
+      const WorkflowStep& step = job->progress.workflow().steps[open.step];
+      if (!step.fills) continue;
+      const auto& tasks = job->progress.TasksOf(open.round, open.step);
+      const auto waiting =
+          std::count_if(tasks.begin(), tasks.end(), [](const auto& task) {
+            return task.phase == WorkflowProgress::Phase::kWaiting;
+          });
+      cores += static_cast<double>(waiting * step.each.cpu_millis);
+    }
+  }
+  return cores / kMillisOfCore;
+}
+
+void Dispatcher::RefreshPacePolicy(UnixMillis unix_now) {
+  double asked = WaitingFillerCores(unix_now);
+  double free = 0;
+  for (const auto& [name, vm] : vms_) {
+    if (!vm.answered) continue;
+    asked += static_cast<double>(vm.filling_cpu) / kMillisOfCore;
+    free += FreeCores(vm);
+  }
+  const PacePolicy before = filler_load_.policy();
+  filler_load_.Observe(asked, free);
+  const PacePolicy policy = filler_load_.policy();
+  if (policy == before) return;
+  Decide("", "pace_policy",
+         std::string(PacePolicyName(policy)) + ", fillers ask for " +
+             std::to_string(std::lround(filler_load_.ratio() * 100)) +
+             " % of what there is");
+  for (const auto& [name, vm] : vms_) {
+    if (vm.answered) Send(name, PacePolicyNotice{options_.epoch, policy});
+  }
+}
+
 std::vector<PressureWeight> Dispatcher::WeightsOn(const Vm& vm) const {
   std::vector<PressureWeight> weights;
   for (const auto& [serving, runs] : vm.serving) {
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -203,6 +203,8 @@
   }
   if (state.status.draining) Evacuate(vm, state);
   SendTraits(vm, state);
+  // An earlier owner may have told it otherwise.
+  Send(vm, PacePolicyNotice{options_.epoch, filler_load_.policy()});
   Account(vm);
   return true;
 }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -39,6 +39,7 @@
 #include "beamhill/base/time.h"
 #include "beamhill/dispatch/dispatch_messages.h"
 #include "beamhill/dispatch/dispatch_types.h"
+#include "beamhill/dispatch/filler_load.h"
 #include "beamhill/dispatch/run_log.h"
 #include "beamhill/dispatch/run_times.h"
 #include "beamhill/dispatch/yield_order.h"
@@ -322,6 +323,11 @@
   double PredictTailRatio(const Vm& vm, const WorkflowStep& filler) const;
   // Brings what was learned up to date with the newest reports.
   void RefitPressure();
+  // Weighs what fillers ask for against what there is for them, and tells
+  // executors when that changes how they pace.
+  void RefreshPacePolicy(UnixMillis unix_now);
+  // What the waiting tasks that fill ask for, of steps that may start.
+  double WaitingFillerCores(UnixMillis unix_now) const;
   // What is known of each pair of a serving and a filling image there.
   std::vector<PressureWeight> WeightsOn(const Vm& vm) const;
   void SendWeightsTo(const std::string& name, Vm& vm);
@@ -488,6 +494,7 @@
   std::set<std::string> unaccounted_;
   WorkerHealth health_;
   RunTimes run_times_;
+  FillerLoad filler_load_;
   PairwiseInterference interference_;
   uint64_t interference_version_ = 1;
   // By serving and filling image: what the log was told last.
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -61,6 +61,7 @@
   reported_ = 0;
   clock_known_ = false;
   pacer_ = Pacer();
+  pacer_.set_policy(pace_policy_);
 }
 
 bool Executor::IsEarlierLife(const std::string& life) const {
@@ -134,6 +135,8 @@
     if (IsCurrent(link, traits->epoch, traits->life)) OnTraits(*traits);
   } else if (const auto* learned = std::get_if<PressureWeights>(&message)) {
     if (owner_link_ == link && learned->epoch == epoch_) OnWeights(*learned);
+  } else if (const auto* policy = std::get_if<PacePolicyNotice>(&message)) {
+    if (owner_link_ == link && policy->epoch == epoch_) OnPacePolicy(*policy);
   }
 }
 
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -101,7 +101,11 @@
   };
   struct Paced {
     TaskTraits traits;
-    int percent = 100;  // As last ordered.
+    // As last ordered; unknown after an order without an answer, and of a run
+    // that an earlier run of this process has paced.
+    int percent = kWholePercent;
+    TimePoint ordered_at{};
+    bool answered = true;  // The last order is.
   };
 
   void OnAttach(uint64_t link, const Attach& attach);
@@ -158,12 +162,17 @@
   // In executor_pacing.cc.
   void OnTraits(const RunTraitsList& list);
   void OnWeights(const PressureWeights& learned);
-  void Pace(const RunnerView& view, TimePoint now);
+  void OnPacePolicy(const PacePolicyNotice& notice);
+  void Pace(const RunnerView& view, TimePoint sent_at, TimePoint now);
+  // Finds fillers that work though they were ordered to rest, or the reverse:
+  // an order may be lost, or be carried out after a newer one.
+  void NotePaces(const RunnerView& view, TimePoint sent_at, TimePoint now);
   // What a look shows of the tasks that pacing heeds.
   struct PacingView {
     std::vector<ServingSample> serving;
     Pacer::FillingShares filling;
     std::vector<RunRef> fillers;
+    bool fillers_work = false;  // Some filler uses processors.
     // Processor time that is left for fillers.
     int64_t free_cpu = 0;
   };
@@ -206,6 +215,7 @@
   std::map<RunRef, Order> orders_;
   std::map<RunRef, Paced> paced_;
   Pacer pacer_;
+  PacePolicy pace_policy_ = PacePolicy::kCautious;
   TimePoint pressure_sent_at_{};
   uint64_t settled_ = 0;  // Ends that may be forgotten.
   uint64_t highest_listed_ = 0;
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -91,7 +91,7 @@
   if (inventory_wanted_ && owner_link_) SendInventory(view);
   ReportEnds(view);
   ResolveOrders(view, sent_at);
-  Pace(view, now);
+  Pace(view, sent_at, now);
   next_look_ = highest_listed_ > settled_ ? now + kUnsettledPause : now;
   if (next_look_ <= now && !slow_look_open_) Look(NextWait());
 }
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -53,7 +53,7 @@
   Order& order = orders_[run];
   order.call_open = true;
   order.since = hooks_.now();
-  if (starts.traits.paced()) paced_[run] = {starts.traits, 100};
+  if (starts.traits.paced()) paced_[run].traits = starts.traits;
   RunnerStart call{status_.life,     epoch_,       run,       starts.payload,
                    start.checkpoint, start.ticket, *lease_end};
   runner_.start(std::move(call),
--- a/beamhill/executor/executor_pacing.cc
+++ b/beamhill/executor/executor_pacing.cc
@@ -23,14 +23,32 @@
 constexpr int64_t kLeastSharePercent = 10;
 // What a filler works at after a pace order without an answer.
 constexpr int kUnknownPercent = -1;
+// A pace order without an answer for so long is taken for lost: the runner is
+// on the same VM, and answers within some milliseconds.
+constexpr Duration kPaceAnswered = std::chrono::milliseconds(200);
+// A look that is sent so long after a pace order shows what became of it: the
+// use that it tells is up to half a second old.
+constexpr Duration kPaceSettled = std::chrono::milliseconds(550);
+// A filler that uses more than this part of what it asks for is at work; one
+// that was ordered to rest uses nothing.
+constexpr int64_t kAtWorkPercent = 5;
+// One that was ordered this pace uses more than that, however short processors
+// are.
+constexpr int kSurelyAtWork = 50;
 // A sample covers half a second; more often would count it twice.
 constexpr Duration kPressureInterval = std::chrono::milliseconds(450);
 
+bool IsSeenAtWork(const RunningRun& filler, int64_t cpu_millis) {
+  return filler.measure * kWholePercent > cpu_millis * kAtWorkPercent;
+}
+
 }  // namespace
 
 void Executor::OnTraits(const RunTraitsList& list) {
   for (const RunTraits& run : list.runs) {
-    paced_[run.run].traits = run.traits;
+    const auto [it, added] = paced_.try_emplace(run.run);
+    it->second.traits = run.traits;
+    if (added) it->second.percent = kUnknownPercent;
   }
 }
 
@@ -48,6 +66,8 @@
     const TaskTraits& traits = it->second.traits;
     if (traits.fills) {
       seen.fillers.push_back(running.run);
+      seen.fillers_work =
+          seen.fillers_work || IsSeenAtWork(running, traits.cpu_millis);
       Pacer::FillingShare& share = seen.filling[traits.image];
       share.used += static_cast<double>(running.measure) / whole;
       share.asked += static_cast<double>(traits.cpu_millis) / whole;
@@ -63,14 +83,34 @@
   return seen;
 }
 
-void Executor::Pace(const RunnerView& view, TimePoint now) {
+void Executor::Pace(const RunnerView& view, TimePoint sent_at, TimePoint now) {
   const PacingView seen = ViewForPacing(view);
   if (seen.serving.empty() && seen.fillers.empty()) return;
-  pacer_.Observe(seen.serving, seen.filling, now);
+  pacer_.Observe(seen.serving, seen.filling, seen.fillers_work, now);
+  NotePaces(view, sent_at, now);
   ReportPressure(seen.serving, seen.filling, now);
   PaceInOrder(seen.fillers, seen.free_cpu);
 }
 
+void Executor::NotePaces(const RunnerView& view, TimePoint sent_at,
+                         TimePoint now) {
+  for (const RunningRun& running : view.running) {
+    const auto it = paced_.find(running.run);
+    if (it == paced_.end() || !it->second.traits.fills) continue;
+    Paced& paced = it->second;
+    if (!paced.answered && now - paced.ordered_at >= kPaceAnswered) {
+      paced.percent = kUnknownPercent;
+    }
+    if (sent_at - paced.ordered_at < kPaceSettled) continue;
+    const bool works = IsSeenAtWork(running, paced.traits.cpu_millis);
+    const bool ordered_to_rest = paced.percent == 0;
+    const bool ordered_to_work = paced.percent >= kSurelyAtWork;
+    if (works ? ordered_to_rest : ordered_to_work) {
+      paced.percent = kUnknownPercent;
+    }
+  }
+}
+
 void Executor::PaceInOrder(std::vector<RunRef> fillers, int64_t free_cpu) {
   const auto key = [this](const RunRef& run) {
     return std::tie(paced_.at(run).traits.yield_order, run);
@@ -118,14 +158,18 @@
 
 void Executor::OrderPace(const RunRef& run, int percent) {
   paced_[run].percent = percent;
+  paced_[run].ordered_at = hooks_.now();
+  paced_[run].answered = false;
   ++counts_.paces;
   runner_.pace({status_.life, epoch_, run, percent},
                lifetime_.Guard([this, run](RunnerReply reply) {
                  NoteClock(reply.clock);
+                 const auto it = paced_.find(run);
+                 if (it == paced_.end()) return;
+                 it->second.answered = true;
                  if (reply.verdict == RunnerVerdict::kDone) return;
                  // Unknown what it works at: order it again.
-                 const auto it = paced_.find(run);
-                 if (it != paced_.end()) it->second.percent = kUnknownPercent;
+                 it->second.percent = kUnknownPercent;
                }));
 }
 
@@ -152,6 +196,14 @@
   SendToOwner(pressure);
 }
 
+void Executor::OnPacePolicy(const PacePolicyNotice& notice) {
+  if (notice.policy != pace_policy_) {
+    hooks_.log("pace_policy", "", std::string(PacePolicyName(notice.policy)));
+  }
+  pace_policy_ = notice.policy;
+  pacer_.set_policy(pace_policy_);
+}
+
 void Executor::OnWeights(const PressureWeights& learned) {
   Pacer::Weights weights;
   for (const PressureWeight& weight : learned.weights) {
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -45,6 +45,8 @@
         std::make_unique<Executor>(ExecutorOptions{}, std::move(runner), hooks);
   }
 
+  int last_pace_ = -1;
+
   void Register(const std::string& life) {
     VmStatus status;
     status.life = life;
@@ -440,6 +442,38 @@
 TEST_F(ExecutorTest, NewFillerIsHeldToThePaceOfItsImageAtOnce) {
   FillBesideASufferingService();
   paces_.clear();
+// An order that was carried out late undoes a newer one: the next looks show it.
+TEST_F(ExecutorTest, FillerThatWorksThoughItRestsIsOrderedAgain) {
+  FillBesideASufferingService();
+  const RunRef serving{{"w", 0, 0, 1}, 1};
+  const auto suffer = [&](int64_t use) {
+    Pass(milliseconds(300));
+    AnswerLook({{kRun, 50, use}, {serving, 100, 45}});
+    for (auto& [call, done] : std::exchange(paces_, {})) {
+      last_pace_ = call.percent;
+      done({RunnerVerdict::kDone, std::nullopt});
+    }
+  };
+  for (int i = 0; i < 6; ++i) suffer(0);
+  ASSERT_EQ(last_pace_, 0);
+  last_pace_ = -1;
+  for (int i = 0; i < 3; ++i) suffer(0);
+  EXPECT_EQ(last_pace_, -1);  // All is as ordered.
+  for (int i = 0; i < 3; ++i) suffer(2000);
+  EXPECT_EQ(last_pace_, 0);
+}
+
+// What an earlier run of this process has ordered isn't known.
+TEST_F(ExecutorTest, PaceOfARunFromBeforeARestartIsOrderedAnew) {
+  Register("life-1");
+  Attach(1);
+  RunTraitsList list{1, "life-1", {{kRun, {"img", true, {}, 2000, 0}}}};
+  executor_->OnMessage(kLink, list);
+  AnswerLook({{kRun, 0, 0}});
+  ASSERT_THAT(paces_, SizeIs(1));
+  EXPECT_EQ(paces_[0].first.percent, 100);
+}
+
   const RunRef fresh{{"fresh", 0, 0, 0}, 1};
   Start(fresh, 1, {}, /*fills=*/true);
   ASSERT_THAT(starts_, SizeIs(1));
--- /dev/null
+++ b/beamhill/executor/harm_guard.h
@@ -0,0 +1,58 @@
+// Ends every long overrun of a serving task on one VM, whatever else decides
+// how fast fillers work there.
+//
+// Answers the load where batch work and services together want more than a VM
+// has for many seconds. Once a serving image has been over its target for two
+// seconds all fillers of the VM rest until no tail is near its target. It rests
+// on measurements alone: what is known of who disturbs whom may be wrong.
+// Users count harm after 4 s: a sample trails its cause by up to a second, a
+// look and an order take a third of one.
+//
+//   HarmGuard guard;
+//   guard.Observe(serving, fillers_work, now);
+//   if (guard.resting()) PaceAll(0);
+#ifndef BEAMHILL_EXECUTOR_HARM_GUARD_H_
+#define BEAMHILL_EXECUTOR_HARM_GUARD_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "beamhill/base/time.h"
+#include "beamhill/executor/serving_sample.h"
+
+namespace beamhill {
+
+class HarmGuard {
+ public:
+  // Takes in the newest samples of the VM, and whether some filler is seen at
+  // work: orders may be lost, so a rest counts only from when none is.
+  void Observe(const std::vector<ServingSample>& serving, bool fillers_work,
+               TimePoint now);
+
+  // Whether all fillers of the VM are to rest.
+  bool resting() const { return resting_; }
+  // Whether the last rest has ended by its time, with a tail still up: so the
+  // load is the service's own. Until the next rest, or until no tail is up.
+  bool rest_was_in_vain() const { return rest_was_in_vain_; }
+
+ private:
+  // A serving image that is over its target, or close below it.
+  struct Overrun {
+    TimePoint since{};
+    TimePoint last_over{};
+  };
+
+  void NoteOverruns(const std::vector<ServingSample>& serving, TimePoint now);
+  // For how long the one has lasted that has lasted longest.
+  Duration LongestOverrun() const;
+
+  std::map<std::string, Overrun> overruns_;  // By serving image.
+  bool resting_ = false;
+  bool rest_was_in_vain_ = false;
+  TimePoint resting_since_{};
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_EXECUTOR_HARM_GUARD_H_
--- a/beamhill/executor/pacer.cc
+++ b/beamhill/executor/pacer.cc
@@ -23,26 +23,24 @@
 constexpr Duration kTrustWeights = std::chrono::milliseconds(900);
 // An image is harmless if at this share of a VM it explains nothing.
 constexpr double kUsualShare = 0.2;
-// Once a tail has been over its target for so long, all fillers of the VM rest,
-// whatever is known of them: what is known may be wrong, and the users count
-// harm after 4 s. A sample trails the tail by up to a second.
-constexpr Duration kRestAfter = std::chrono::milliseconds(2000);
-// A rest that has not brought the tail down by its end was not called for; it
-// is tried again each such period, as long as the tail stays up.
-constexpr Duration kRestPeriod = kRestAfter + std::chrono::milliseconds(1400);
-// An overrun has ended when no sample was over for so long: two samples, as
-// single ones are rough.
-constexpr Duration kClearFor = std::chrono::milliseconds(550);
 constexpr double kKeepOver = 0.35;
 constexpr double kKeepNear = 0.65;
 
-double RatioOf(const ServingSample& sample) {
-  return ToMillis(sample.tail) / ToMillis(sample.target);
+// Those whose tails are near their targets or over them.
+std::vector<ServingSample> NearTarget(
+    const std::vector<ServingSample>& serving) {
+  std::vector<ServingSample> near;
+  for (const ServingSample& sample : serving) {
+    if (sample.ratio() > kCutAbove) near.push_back(sample);
+  }
+  return near;
 }
 
 }  // namespace
 
 int Pacer::PercentOf(const std::string& image) const {
+  // An image that has come since the rest began rests as well.
+  if (guard_.resting()) return 0;
   const auto it = percents_.find(image);
   return it == percents_.end() ? kWholePercent : it->second;
 }
@@ -54,25 +52,36 @@
 }
 
 void Pacer::Observe(const std::vector<ServingSample>& serving,
-                    const FillingShares& filling, TimePoint now) {
-  std::vector<ServingSample> over;
+                    const FillingShares& filling, bool fillers_work,
+                    TimePoint now) {
+  const bool was_resting = guard_.resting();
+  guard_.Observe(serving, fillers_work, now);
+  if (policy_ == PacePolicy::kGuarded) {
+    percents_.clear();
+    return;
+  }
+  if (guard_.resting()) {
+    for (const auto& [image, share] : filling) percents_[image] = 0;
+    cut_at_ = now;
+    return;
+  }
+  if (was_resting && guard_.rest_was_in_vain()) {
+    SpareHarmless(serving, filling);
+    return;
+  }
+  ObserveCautiously(serving, filling, now);
+}
+
+void Pacer::ObserveCautiously(const std::vector<ServingSample>& serving,
+                              const FillingShares& filling, TimePoint now) {
   double worst = 0;
   for (const ServingSample& sample : serving) {
-    if (sample.target <= Duration(0)) continue;
-    worst = std::max(worst, RatioOf(sample));
-    if (RatioOf(sample) > kCutAbove) over.push_back(sample);
+    worst = std::max(worst, sample.ratio());
   }
+  const std::vector<ServingSample> over = NearTarget(serving);
   if (!over.empty() && !over_) over_since_ = now;
   over_ = !over.empty();
-  const std::optional<Duration> overrun = LongestOverrun(over, now);
-  const bool was_resting = resting_;
-  resting_ = overrun && *overrun % kRestPeriod >= kRestAfter;
-  if (resting_) {
-    for (const auto& [image, share] : filling) percents_[image] = 0;
-    cut_at_ = now;
-  } else if (was_resting && overrun) {
-    SpareHarmless(over, filling);
-  } else if (!over.empty() && now - cut_at_ >= kCutPause) {
+  if (!over.empty() && now - cut_at_ >= kCutPause) {
     Restrain(over, filling, now - over_since_);
     cut_at_ = now;
   } else if (worst < kGiveBelow && now - given_at_ >= kGivePause &&
@@ -82,30 +91,10 @@
   }
 }
 
-std::optional<Duration> Pacer::LongestOverrun(
-    const std::vector<ServingSample>& over, TimePoint now) {
-  for (const ServingSample& sample : over) {
-    if (RatioOf(sample) <= 1) continue;
-    const auto entry = overruns_.emplace(sample.image, Overrun{now, now}).first;
-    entry->second.last_over = now;
-  }
-  std::optional<Duration> longest;
-  for (auto it = overruns_.begin(); it != overruns_.end();) {
-    const Overrun& overrun = it->second;
-    if (now - overrun.last_over >= kClearFor) {
-      it = overruns_.erase(it);
-      continue;
-    }
-    const Duration lasted = overrun.last_over - overrun.since;
-    longest = std::max(longest.value_or(lasted), lasted);
-    ++it;
-  }
-  return longest;
-}
-
 // The tail is as high with all fillers at rest: it is the service's own load.
-void Pacer::SpareHarmless(const std::vector<ServingSample>& over,
+void Pacer::SpareHarmless(const std::vector<ServingSample>& serving,
                           const FillingShares& filling) {
+  const std::vector<ServingSample> over = NearTarget(serving);
   for (const auto& [image, share] : filling) {
     if (KnownHarmless(over, image)) percents_[image] = kWholePercent;
   }
@@ -145,7 +134,7 @@
   double target = 0;
   bool known = false;
   for (const ServingSample& sample : over) {
-    worst = std::max(worst, RatioOf(sample));
+    worst = std::max(worst, sample.ratio());
     target = std::max(target, ToMillis(sample.target));
     for (const auto& [image, share] : filling) {
       known = known || weights_.count({sample.image, image}) > 0;
--- a/beamhill/executor/task_runner.h
+++ b/beamhill/executor/task_runner.h
@@ -71,7 +71,7 @@
 
 struct RunningRun {
   RunRef run;
-  int percent = 100;
+  int percent = 100;  // Of its work that is done; 100: a lasting task serves.
   // Of the last half second: a serving task's tail latency in milliseconds,
   // or another's processor time in thousandths of a core.
   int64_t measure = 0;
--- a/beamhill/replay/replay_runner.cc
+++ b/beamhill/replay/replay_runner.cc
@@ -8,9 +8,10 @@
 
 // A call to the runner of the same VM takes about this long.
 constexpr Duration kCallTime = std::chrono::milliseconds(1);
-// A tail or a use trails its cause with this time constant, as measured on the
-// users' sites (docs/ORDER-DESK.md).
+// A tail trails its cause with this time constant, as measured on the users'
+// sites (docs/ORDER-DESK.md). Use shows whole within half a second.
 constexpr double kTrailSeconds = 0.45;
+constexpr double kUseTrailSeconds = 0.12;
 constexpr double kPercent = 100;
 
 }  // namespace
@@ -109,6 +110,12 @@
               [this, settled_through, done] { done(View(settled_through)); });
 }
 
+int ReplayRunner::PercentDone(const Run& run) {
+  if (run.task.lasts || run.task.work <= Duration(0)) return kPercent;
+  const double whole = std::chrono::duration<double>(run.task.work).count();
+  return static_cast<int>(kPercent * run.done_seconds / whole);
+}
+
 RunnerView ReplayRunner::View(uint64_t settled_through) {
   ended_.erase(std::remove_if(ended_.begin(), ended_.end(),
                               [&](const RunEnd& end) {
@@ -121,7 +128,7 @@
   for (const auto& [ref, run] : runs_) {
     const bool serves = run.task.tail_target > Duration(0);
     view.running.push_back(
-        {ref, run.percent,
+        {ref, PercentDone(run),
          static_cast<int64_t>(serves ? run.tail_ms : run.used_cpu)});
   }
   return view;
@@ -145,12 +152,13 @@
   const double seconds = std::chrono::duration<double>(step).count();
   const double scale = FillingScale();
   const double keep = std::max(0.0, 1 - seconds / kTrailSeconds);
+  const double keep_use = std::max(0.0, 1 - seconds / kUseTrailSeconds);
   std::map<std::string, double> shares;
   std::vector<std::pair<RunRef, RunEndKind>> over;
   for (auto& [ref, run] : runs_) {
     const double pace = run.task.fills ? scale * run.percent / kPercent : 1;
     const double used = pace * static_cast<double>(run.task.cpu_millis);
-    run.used_cpu = keep * run.used_cpu + (1 - keep) * used;
+    run.used_cpu = keep_use * run.used_cpu + (1 - keep_use) * used;
     run.done_seconds += pace * seconds;
     if (run.task.fills) {
       shares[run.task.image] += used / static_cast<double>(size_.cpu_millis);
@@ -172,6 +180,9 @@
 void ReplayRunner::AdvanceTails(double keep,
                                 const std::map<std::string, double>& shares,
                                 Duration step) {
+  const bool fillers_work =
+      std::any_of(shares.begin(), shares.end(),
+                  [](const auto& entry) { return entry.second > 0; });
   for (auto& [ref, run] : runs_) {
     if (run.task.tail_target <= Duration(0)) continue;
     const std::string& serving = run.task.image;
@@ -182,7 +193,7 @@
     }
     run.tail_ms =
         run.tail_ms == 0 ? tail : keep * run.tail_ms + (1 - keep) * tail;
-    if (run.tail_ms <= ToMillis(run.task.tail_target)) {
+    if (!fillers_work || run.tail_ms <= ToMillis(run.task.tail_target)) {
       run.harmed_for = Duration(0);
       continue;
     }
--- a/beamhill/replay/replay_runner.h
+++ b/beamhill/replay/replay_runner.h
@@ -61,8 +61,8 @@
 
   int64_t memory_in_use_mib() const;
 
-  // Seconds that serving tasks spent over their target because of fillers, and
-  // the longest such stretch of one task.
+  // Seconds that serving tasks spent over their target while fillers worked,
+  // and the longest such stretch of one task.
   double harm_seconds() const { return harm_seconds_; }
   Duration longest_harm() const { return longest_harm_; }
   // Core-seconds that fillers worked.
@@ -82,6 +82,7 @@
   RunnerReply Start(const RunnerStart& call);
   RunnerReply Stop(const RunRef& run);
   void Pace(const RunnerPace& call);
+  static int PercentDone(const Run& run);
   RunnerView View(uint64_t settled_through);
   void AnswerLook(uint64_t settled_through,
                   const std::function<void(RunnerView)>& done);
