Rest sooner where users count harm sooner

Cause: the guard assumed that harm counts after 4 s, as on the small sites; the platform states the time for each deployment (4 to 5 s on those known), and another one may count sooner. Change: setting harm_after of an executor, 4 s unless the platform gives it; a rest comes after half of it, and after 2 s at the latest. Before and after: nothing changes on the known deployments; HarmGuardTest has the sooner one.

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -29,7 +29,8 @@
       runner_(std::move(runner)),
       hooks_(std::move(hooks)),
       started_at_(hooks_.now()),
-      renewed_at_(started_at_) {}
+      renewed_at_(started_at_),
+      pacer_(options_.harm_after) {}
 
 void Executor::SendToOwner(const DispatchMessage& message) {
   if (owner_link_) hooks_.send(*owner_link_, message);
@@ -60,7 +61,7 @@
   highest_listed_ = 0;
   reported_ = 0;
   clock_known_ = false;
-  pacer_ = Pacer();
+  pacer_ = Pacer(options_.harm_after);
   pacer_.set_policy(pace_policy_);
 }
 
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -39,6 +39,9 @@
   Duration runner_lost_after = std::chrono::milliseconds(1500);
   // Added to the end of a lease before it is believed to be over.
   Duration lease_margin = std::chrono::milliseconds(500);
+  // For how long a serving task may be over its target through fillers until
+  // users count it as harmed.
+  Duration harm_after = kUsualHarmAfter;
   // After a runner says that it leaves, its tasks may live on for so long.
   Duration leave_pause = std::chrono::milliseconds(600);
 };
--- a/beamhill/executor/harm_guard.cc
+++ b/beamhill/executor/harm_guard.cc
@@ -12,8 +12,11 @@
 // falls to half of itself in 0.3 s once fillers rest.
 constexpr double kClear = 0.9;
 // With up to a second by which a sample trails, and a third of one for a look
-// and the orders, fillers rest 3.3 s after the tail went up at the latest.
-constexpr Duration kRestAfter = std::chrono::milliseconds(2000);
+// and the orders, fillers rest 3.3 s after the tail went up at the latest. No
+// longer where harm counts later: resting after 2.6 s earned no more.
+constexpr Duration kLongestOverrun = std::chrono::milliseconds(2000);
+// Where harm counts sooner, this part of that time.
+constexpr int kHarmDivisor = 2;
 // Counted, as the longest one, from when no filler is seen at work: so a tail
 // that is seen then is of the rest, or falls with it.
 constexpr Duration kLeastRest = std::chrono::milliseconds(250);
@@ -26,6 +29,9 @@
 
 }  // namespace
 
+HarmGuard::HarmGuard(Duration harm_after)
+    : rest_after_(std::min(kLongestOverrun, harm_after / kHarmDivisor)) {}
+
 void HarmGuard::NoteOverruns(const std::vector<ServingSample>& serving,
                              TimePoint now) {
   for (const ServingSample& sample : serving) {
@@ -52,7 +58,7 @@
   NoteOverruns(serving, now);
   if (!resting_) {
     if (overruns_.empty()) rest_was_in_vain_ = false;
-    if (LongestOverrun() < kRestAfter) return;
+    if (LongestOverrun() < rest_after_) return;
     resting_ = true;
     rest_was_in_vain_ = false;
     resting_since_ = now;
--- a/beamhill/executor/harm_guard.h
+++ b/beamhill/executor/harm_guard.h
@@ -5,8 +5,8 @@
 // has for many seconds. Once a serving image has been over its target for two
 // seconds all fillers of the VM rest until no tail is near its target. It rests
 // on measurements alone: what is known of who disturbs whom may be wrong.
-// Users count harm after 4 s: a sample trails its cause by up to a second, a
-// look and an order take a third of one.
+// Users count harm after 4 s, or as the settings say: a sample trails its cause
+// by up to a second, a look and an order take a third of one.
 //
 //   HarmGuard guard;
 //   guard.Observe(serving, fillers_work, now);
@@ -23,8 +23,15 @@
 
 namespace beamhill {
 
+// When users count harm, unless the settings say otherwise.
+inline constexpr Duration kUsualHarmAfter = std::chrono::seconds(4);
+
 class HarmGuard {
  public:
+  // `harm_after`: for how long a task may be over its target until users count
+  // it as harmed.
+  explicit HarmGuard(Duration harm_after = kUsualHarmAfter);
+
   // Takes in the newest samples of the VM, and whether some filler is seen at
   // work: orders may be lost, so a rest counts only from when none is.
   void Observe(const std::vector<ServingSample>& serving, bool fillers_work,
@@ -47,6 +54,7 @@
   // For how long the one has lasted that has lasted longest.
   Duration LongestOverrun() const;
 
+  Duration rest_after_;  // How long an overrun may last.
   std::map<std::string, Overrun> overruns_;  // By serving image.
   bool resting_ = false;
   bool rest_was_in_vain_ = false;
--- a/beamhill/executor/harm_guard_test.cc
+++ b/beamhill/executor/harm_guard_test.cc
@@ -42,6 +42,12 @@
   EXPECT_TRUE(guard_.resting());
 }
 
+TEST_F(HarmGuardTest, RestsSoonerWhereHarmCountsSooner) {
+  guard_ = HarmGuard(seconds(2));
+  Observe(milliseconds(1250), {25});
+  EXPECT_TRUE(guard_.resting());
+}
+
 // Two tasks of an image whose loads peak in turn: the image is never clear.
 TEST_F(HarmGuardTest, TurnsOfTwoTasksAreOneOverrun) {
   for (int i = 0; i < 5; ++i) {
