Start nothing in data halls that are to be emptied

Cause: the operators' request to empty a data hall was not read at all; a withdrawal that was missed with the feed's history would not have been noticed for any of their rows, and rows beyond 500 were never read. Each scheduler follows the table, heartbeats carry the newest, an owner starts nothing before it knows one, and orders name the latest moment at which they may be carried out. What ends by itself goes on; lasting tasks move out one of a step at a time where another hall has room; fillers are not saved and moved: they end within seconds, and a move costs up to a second here. Executors that stand in read the table from then on.

--- a/beamhill/dispatch/dispatch_lasting.cc
+++ b/beamhill/dispatch/dispatch_lasting.cc
@@ -119,6 +119,7 @@
   for (const auto& [name, vm] : vms_) {
     const VmStatus& status = vm.status;
     if (!vm.linked || !vm.answered || status.draining || status.life.empty() ||
+        IsEvacuated(vm) ||
         status.service != job.progress.workflow().service ||
         health_.IsQuarantined(name) || kept_room_.count(name) > 0) {
       continue;
--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -16,6 +16,7 @@
 #include "beamhill/base/error.h"
 #include "beamhill/base/time.h"
 #include "beamhill/dispatch/pacing_messages.h"
+#include "beamhill/halls/evacuations.h"
 #include "beamhill/workflow/workflow.h"
 #include "beamhill/workflow/workflow_progress.h"
 
@@ -68,11 +69,14 @@
   std::string payload;
   TaskTraits traits;
   std::vector<StartRun> runs;
+  // By the executor's clock: an order that comes later was held up on its way,
+  // and the owner may know by now that the VM must not run it.
+  TimePoint latest_start = TimePoint::max();
 
   template <typename S>
   static auto Fields(S& s) {
     return std::tie(s.epoch, s.life, s.workflow, s.round, s.step, s.payload,
-                    s.traits, s.runs);
+                    s.traits, s.runs, s.latest_start);
   }
 };
 
@@ -201,11 +205,13 @@
   double strength = 1;             // Of its VM, see HostStrength.
   uint64_t settings_version = 0;   // Of the newest service settings it knows.
   std::vector<std::string> peers;  // Owner: addresses of those that follow it.
+  Evacuations evacuations;         // The newest that the sender knows.
 
   template <typename S>
   static auto Fields(S& s) {
     return std::tie(s.name, s.address, s.incarnation, s.epoch, s.known_epoch,
-                    s.store_silence, s.strength, s.settings_version, s.peers);
+                    s.store_silence, s.strength, s.settings_version, s.peers,
+                    s.evacuations);
   }
 };
 
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -245,6 +245,7 @@
       status.service != job.progress.workflow().service) {
     return false;
   }
+  if (IsEvacuated(vm)) return false;
   if (now < vm.not_before || vm.lease_bound - now < kLeastLease) return false;
   if (!step.required_label.empty() &&
       std::find(status.labels.begin(), status.labels.end(),
@@ -366,6 +367,7 @@
     starts.step = ref.step;
     starts.payload = workflow.payload;
     starts.traits = TraitsOf(job, step);
+    starts.latest_start = LatestStart(vm, now);
   }
   const Ticket* ticket =
       TicketFor(job, {ref.round, ref.step}, vm.status.life, now);
--- a/beamhill/dispatch/dispatch_pressure.cc
+++ b/beamhill/dispatch/dispatch_pressure.cc
@@ -113,7 +113,7 @@
   for (const auto& [name, vm] : vms_) {
     if (!vm.answered) continue;
     asked += static_cast<double>(vm.filling_cpu) / kMillisOfCore;
-    free += FreeCores(vm);
+    if (!IsEvacuated(vm)) free += FreeCores(vm);
   }
   const PacePolicy before = filler_load_.policy();
   filler_load_.Observe(asked, free);
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -62,6 +62,9 @@
   std::ostringstream out;
   out << "epoch " << options_.epoch << " workflows " << jobs_.size()
       << " unaccounted " << unaccounted_.size() << "\n";
+  for (const std::string& hall : evacuations_.halls) {
+    out << "evacuated hall " << hall << "\n";
+  }
   for (const auto& [name, vm] : vms_) {
     out << "vm " << name << " life " << vm.status.life << " answered "
         << vm.answered << " held " << vm.held.size() << " used "
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -170,6 +170,8 @@
   Vm& state = vms_[vm];
   if (beat.epoch != options_.epoch || !state.answered || !may_act_) return;
   state.leased = true;
+  state.stamp = beat.stamp;
+  state.stamped_at = now;
   state.lease_bound =
       now + options_.lease_term +
       options_.lease_term * options_.clock_error_permille / 1000;
@@ -239,6 +241,7 @@
     MoveStarved(now);
     RefreshLayout(now);
     RefreshLasting(now);
+    MoveOutOfHalls(now);
     StartWaiting(now, unix_now);
   }
   if (now - runs_logged_at_ < kRunLogInterval) return;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -104,6 +104,9 @@
   void OnAdvice(const TaskRef& step, const std::optional<Advice>& advice,
                 TimePoint now);
 
+  // The data halls in which nothing more is to be started.
+  void SetEvacuations(const Evacuations& evacuations);
+
   // Whether leases may be granted and tasks started; set by the keeper of
   // the ownership.
   void set_may_act(bool may_act) { may_act_ = may_act; }
@@ -214,6 +217,9 @@
     bool leased = false;    // It has had a lease since.
     int unknown_tries = 0;
     TimePoint lease_bound{};
+    // The stamp of its last heartbeat, by its clock, and when that came.
+    TimePoint stamp{};
+    TimePoint stamped_at{};
     TimePoint not_before{};  // Back-off after it refused a start.
     std::map<RunRef, HeldRun> held;
     Resources used;           // By what doesn't fill.
@@ -398,6 +404,16 @@
   void RelocateServing(TimePoint now);
   void Relocate(const Relocation& plan, TimePoint now);
 
+  // In dispatch_halls.cc.
+  // Whether nothing more is to be started there.
+  bool IsEvacuated(const Vm& vm) const;
+  // Moves lasting tasks out of halls that are to be emptied: of each step one
+  // at a time, while all others are at work, and only where another VM has the
+  // room. What ends by itself goes on.
+  void MoveOutOfHalls(TimePoint now);
+  // Until when the VM's executor may carry out an order of now, by its clock.
+  static TimePoint LatestStart(const Vm& vm, TimePoint now);
+
   // In dispatch_lasting.cc.
   // Keeps room free for lasting tasks that wait, and lets probes pass.
   void RefreshLasting(TimePoint now);
@@ -482,6 +498,8 @@
   TimePoint idle_refreshed_at_{};
   TimePoint layout_at_{};
   TimePoint lasting_refreshed_at_{};
+  Evacuations evacuations_;
+  TimePoint moved_out_at_{};
   // By VM: the room there that is kept for a lasting task.
   std::map<std::string, Resources> kept_room_;
   ServingLayout layout_;
--- a/beamhill/dispatch/dispatcher_test_base.h
+++ b/beamhill/dispatch/dispatcher_test_base.h
@@ -60,6 +60,7 @@
     status.life = lives_[vm].empty() ? vm + "-life-1" : lives_[vm];
     status.service = "web";
     status.rack = racks_[vm];
+    status.hall = halls_[vm];
     status.labels = labels_[vm];
     status.capacity = kRoom;
     return status;
@@ -140,6 +141,7 @@
   bool confirms_ = true;  // Whether the ownership is confirmed as time passes.
   std::map<std::string, std::string> lives_;
   std::map<std::string, std::string> racks_;
+  std::map<std::string, std::string> halls_;
   std::map<std::string, std::vector<std::string>> labels_;
   std::unique_ptr<Dispatcher> dispatcher_;
 };
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -135,7 +135,8 @@
   // In executor_orders.cc.
   void OnStartRuns(const StartRuns& starts);
   void OnStopRuns(const StopRuns& stops);
-  void StartOne(const StartRuns& starts, const StartRun& start);
+  void StartOne(const StartRuns& starts, const RunRef& run,
+                const StartRun& start);
   void OnStartReply(const RunRef& run, const RunnerReply& reply);
   void CallStop(const RunRef& run, Order& order);
   void RetryStops(TimePoint now);
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -37,12 +37,20 @@
 }  // namespace
 
 void Executor::OnStartRuns(const StartRuns& starts) {
-  for (const StartRun& start : starts.runs) StartOne(starts, start);
+  const bool late = hooks_.now() > starts.latest_start;
+  for (const StartRun& start : starts.runs) {
+    const RunRef run{{starts.workflow, starts.round, starts.step, start.index},
+                     start.run};
+    if (!late) {
+      StartOne(starts, run, start);
+    } else if (orders_.count(run) == 0) {
+      NotBegun(run, NotBegunReason::kOutdated);
+    }
+  }
 }
 
-void Executor::StartOne(const StartRuns& starts, const StartRun& start) {
-  const RunRef run{{starts.workflow, starts.round, starts.step, start.index},
-                   start.run};
+void Executor::StartOne(const StartRuns& starts, const RunRef& run,
+                        const StartRun& start) {
   if (orders_.count(run) > 0) return;
   const std::optional<RunnerClock> lease_end = LeaseEndForRunner();
   if (!lease_end) {
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -170,6 +170,24 @@
             NotBegunReason::kOutdated);
 }
 
+// An order that was held up on its way: the owner may know better by now.
+TEST_F(ExecutorTest, NoStartByAnOrderThatComesTooLate) {
+  Register("life-1");
+  Attach(1);
+  StartRuns starts;
+  starts.epoch = 1;
+  starts.life = "life-1";
+  starts.workflow = kRun.task.workflow;
+  starts.runs = {{kRun.task.index, kRun.run, "", ""}};
+  starts.latest_start = now_ + seconds(2);
+  now_ += milliseconds(2001);
+  executor_->OnMessage(kLink, starts);
+  EXPECT_THAT(starts_, IsEmpty());
+  ASSERT_THAT(Sent<RunReports>(), SizeIs(1));
+  EXPECT_EQ(Sent<RunReports>()[0].not_begun[0].reason,
+            NotBegunReason::kOutdated);
+}
+
 struct RefusalCase {
   RunnerVerdict verdict;
   NotBegunReason reason;
@@ -424,24 +442,6 @@
 
 // A registration that a cut has held up arrives when its sender has crashed and
 // a new life has registered: it must not bring the dead one back.
-TEST_F(ExecutorTest, LateRegistrationOfAnEarlierLifeChangesNothing) {
-  Register("life-1");
-  Register("life-2");
-  Attach(1);
-  Start(kRun, 1);
-  ASSERT_THAT(starts_, SizeIs(1));
-  Register("life-1");
-  EXPECT_EQ(executor_->status().life, "life-2");
-  starts_[0].second({RunnerVerdict::kDone, std::nullopt});
-  Register("life-3");
-  Register("life-2");
-  EXPECT_EQ(executor_->status().life, "life-3");
-}
-
-// It begins at full speed, and until the next look nobody would hold it.
-TEST_F(ExecutorTest, NewFillerIsHeldToThePaceOfItsImageAtOnce) {
-  FillBesideASufferingService();
-  paces_.clear();
 // An order that was carried out late undoes a newer one: the next looks show it.
 TEST_F(ExecutorTest, FillerThatWorksThoughItRestsIsOrderedAgain) {
   FillBesideASufferingService();
@@ -474,6 +474,24 @@
   EXPECT_EQ(paces_[0].first.percent, 100);
 }
 
+TEST_F(ExecutorTest, LateRegistrationOfAnEarlierLifeChangesNothing) {
+  Register("life-1");
+  Register("life-2");
+  Attach(1);
+  Start(kRun, 1);
+  ASSERT_THAT(starts_, SizeIs(1));
+  Register("life-1");
+  EXPECT_EQ(executor_->status().life, "life-2");
+  starts_[0].second({RunnerVerdict::kDone, std::nullopt});
+  Register("life-3");
+  Register("life-2");
+  EXPECT_EQ(executor_->status().life, "life-3");
+}
+
+// It begins at full speed, and until the next look nobody would hold it.
+TEST_F(ExecutorTest, NewFillerIsHeldToThePaceOfItsImageAtOnce) {
+  FillBesideASufferingService();
+  paces_.clear();
   const RunRef fresh{{"fresh", 0, 0, 0}, 1};
   Start(fresh, 1, {}, /*fills=*/true);
   ASSERT_THAT(starts_, SizeIs(1));
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -60,6 +60,10 @@
                    ? static_cast<double>(owner_->dispatcher()->workflows())
                    : 0.0;
       });
+  metrics.AddGauge(
+      "beamhill_evacuated_halls", "Data halls that are to be emptied.", [this] {
+        return static_cast<double>(hooks_.evacuations().halls.size());
+      });
   MakeKeeper();
   tick_ = loop_.Every(kTickInterval, [this] { Tick(); });
 }
@@ -113,7 +117,8 @@
   options.inherited_bound = settings_.lease_term + kBoundMargin;
   if (!released) options.inherited_bound += settings_.authority_term;
   owner_ = std::make_unique<WorkOwner>(loop_, table_, *keeper_, options,
-                                       hooks_.advisor, owner_metrics_);
+                                       hooks_.advisor, hooks_.evacuations,
+                                       owner_metrics_);
   // Stored workflows are found by loading.
   notices_.clear();
   if (!followed_.address.empty()) known_peers_.insert(followed_.address);
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -57,6 +57,10 @@
   std::function<void(uint64_t version, const std::string& document)>
       on_settings_copy;
   AdvisorHook advisor;
+  // The data halls to be emptied, the newest that is known here, and a peer's
+  // copy.
+  EvacuationsHook evacuations;
+  std::function<void(const Evacuations&)> on_evacuations_copy;
 };
 
 class Scheduler {
--- a/beamhill/scheduler/scheduler_peers.cc
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -40,6 +40,7 @@
   beat.store_silence = hooks_.store_silence();
   beat.strength = settings_.strength;
   beat.settings_version = hooks_.settings_version();
+  beat.evacuations = hooks_.evacuations();
   if (keeper_->owns()) {
     for (const auto& [link, peer] : peers_) {
       if (!peer.last.address.empty()) beat.peers.push_back(peer.last.address);
@@ -60,6 +61,7 @@
   if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
     if (beat->epoch >= followed_.epoch) keeper_->OnOwnerHeard(beat->epoch);
     owner_heard_at_ = BootClock::now();
+    hooks_.on_evacuations_copy(beat->evacuations);
     owner_store_answers_ = beat->store_silence < kOwnerCutOff;
     owner_served_at_ = owner_heard_at_ - beat->store_silence;
     known_peers_.insert(beat->peers.begin(), beat->peers.end());
@@ -113,6 +115,7 @@
   if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
     peer.last = *beat;
     peer.heard_at = BootClock::now();
+    hooks_.on_evacuations_copy(beat->evacuations);
     send(Heartbeat());
     ShareSettings(beat->settings_version, send);
     if (beat->known_epoch < keeper_->record().epoch) {
@@ -188,6 +191,8 @@
 void Scheduler::OnQueryAnswer(const DispatchMessage& message) {
   if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
     hooks_.on_settings_copy(copy->version, copy->document);
+  } else if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
+    hooks_.on_evacuations_copy(beat->evacuations);
   } else if (const auto* announced = std::get_if<OwnerAnnounced>(&message)) {
     keeper_->OnOwnerAnnounced(announced->record);
   }
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -44,12 +44,13 @@
 
 WorkOwner::WorkOwner(EventLoop& loop, Table table, OwnershipKeeper& keeper,
                      const WorkOwnerOptions& options, AdvisorHook advisor,
-                     WorkOwnerMetrics metrics)
+                     EvacuationsHook evacuations, WorkOwnerMetrics metrics)
     : loop_(loop),
       table_(table),
       keeper_(keeper),
       options_(options),
       advisor_(std::move(advisor)),
+      evacuations_(std::move(evacuations)),
       metrics_(metrics),
       desk_(table) {
   Load();
@@ -61,6 +62,12 @@
 
 void WorkOwner::LoadNext(std::shared_ptr<Loading> loading) {
   const size_t next = loading->found.size();
+  // Nothing is started before it is known in which data halls nothing may be.
+  if (next == loading->prefixes.size() && !evacuations_().known) {
+    Log(LogLevel::kWarning, "evacuations_unknown", {{"epoch", options_.epoch}});
+    reload_ = loop_.After(kReloadPause, [this, loading] { LoadNext(loading); });
+    return;
+  }
   if (next == loading->prefixes.size()) {
     OnLoaded(*loading);
     return;
@@ -353,6 +360,7 @@
   const TimePoint now = BootClock::now();
   dispatcher_->set_may_act(keeper_.MayAct() && !quiet_);
   dispatcher_->OnConfirmed(keeper_.confirmed_at());
+  dispatcher_->SetEvacuations(evacuations_());
   dispatcher_->Tick(now, UnixNow());
   const uint64_t starts = dispatcher_->counts().starts;
   metrics_.starts->Add(starts - starts_counted_);
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -30,6 +30,9 @@
 using AdvisorHook = std::function<void(
     const AdviceRequest&, std::function<void(std::optional<Advice>)> done)>;
 
+// The newest that is known of the data halls to be emptied.
+using EvacuationsHook = std::function<const Evacuations&()>;
+
 struct WorkOwnerOptions {
   uint64_t epoch = 0;
   Duration lease_term = std::chrono::seconds(5);
@@ -51,7 +54,7 @@
  public:
   WorkOwner(EventLoop& loop, Table table, OwnershipKeeper& keeper,
             const WorkOwnerOptions& options, AdvisorHook advisor,
-            WorkOwnerMetrics metrics);
+            EvacuationsHook evacuations, WorkOwnerMetrics metrics);
   ~WorkOwner();
   WorkOwner(const WorkOwner&) = delete;
   WorkOwner& operator=(const WorkOwner&) = delete;
@@ -110,6 +113,7 @@
   OwnershipKeeper& keeper_;
   WorkOwnerOptions options_;
   AdvisorHook advisor_;
+  EvacuationsHook evacuations_;
   WorkOwnerMetrics metrics_;
   JobDesk desk_;
   std::unique_ptr<Dispatcher> dispatcher_;
--- a/beamhill/scheduler/work_owner_test.cc
+++ b/beamhill/scheduler/work_owner_test.cc
@@ -91,6 +91,7 @@
     owner_ = std::make_unique<WorkOwner>(
         *loop_, table_.AsTable(), *keeper_, options,
         [](const AdviceRequest&, auto done) { done(std::nullopt); },
+        [this]() -> const Evacuations& { return evacuations_; },
         WorkOwnerMetrics{&metrics_.AddLatency("commit", ""),
                          &metrics_.AddCounter("starts", "")});
   }
@@ -109,6 +110,7 @@
 
   std::unique_ptr<EventLoop> loop_ = std::move(ValueOf(EventLoop::Create()));
   FaultyTable table_;
+  Evacuations evacuations_{true, 0, {}};
   Metrics metrics_;
   std::unique_ptr<OwnershipKeeper> keeper_;
   std::unique_ptr<WorkOwner> owner_;
@@ -132,5 +134,22 @@
       [&] { return first.attached() >= 2 && second.attached() >= 2; }));
 }
 
+// An owner that can't read the operators' table yet must not start anything in
+// a data hall that they may have asked to be emptied.
+TEST_F(WorkOwnerTest, WaitsUntilItIsKnownWhichHallsAreToBeEmptied) {
+  evacuations_.known = false;
+  VmWithUnknownWork vm(*loop_, "vm-1");
+  Transaction rows;
+  rows.writes.push_back(
+      {rows::kVms + vm.Record().vm, kAnyVersion, EncodeRecord(vm.Record())});
+  table_.model().Commit(rows);
+  const Timer later = loop_->After(seconds(1), [this] { loop_->Stop(); });
+  loop_->Run();
+  ASSERT_TRUE(owner_);
+  EXPECT_FALSE(owner_->loaded());
+  evacuations_ = {true, 5, {"north"}};
+  EXPECT_TRUE(RunUntil([this] { return owner_->loaded(); }));
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/standby/standby_owner.cc
+++ b/beamhill/standby/standby_owner.cc
@@ -60,6 +60,8 @@
     settings_document_ = document;
   };
   hooks.advisor = hooks_.advisor;
+  hooks.evacuations = hooks_.evacuations;
+  hooks.on_evacuations_copy = hooks_.on_evacuations_copy;
   return hooks;
 }
 
@@ -81,6 +83,7 @@
   Log(LogLevel::kWarning, "standing_in",
       {{"since_lease_ms", ToMillis(hooks_.since_lease())}});
   not_needed_since_.reset();
+  hooks_.watch_evacuations();
   scheduler_ = std::move(ValueOf(scheduler));
 }
 
--- a/beamhill/standby/standby_owner.h
+++ b/beamhill/standby/standby_owner.h
@@ -35,6 +35,12 @@
   std::function<Duration()> since_lease;
   std::function<Duration()> store_silence;
   AdvisorHook advisor;
+  // The newest that is known of the data halls to be emptied, and a peer's
+  // copy. `watch_evacuations` begins to read them: only a process that stands
+  // in needs them.
+  EvacuationsHook evacuations;
+  std::function<void(const Evacuations&)> on_evacuations_copy;
+  std::function<void()> watch_evacuations;
 };
 
 class StandbyOwner {
