Heed runners that are slow after their start

Cause: how much longer a runner is slow after its start was not read: its tails would be taken for the doing of fillers beside it, its run times for those of the step, and serving tasks would be placed there like anywhere. Change: the time is decoded with the registration; such a VM comes after others in placement, teaches nothing of disturbance, and its run times don't count.

--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -189,6 +189,7 @@
     SetYieldOrder(*job, now, unix_now);
   }
   for (auto& [name, vm] : vms_) {
+    vm.cold = vm.cold && now < vm.warm_at;
     RunTraitsList changed{options_.epoch, vm.status.life, {}};
     for (auto& [run, held] : vm.held) {
       const Job* job = held.filling_cpu > 0 ? Find(run.task.workflow) : nullptr;
--- a/beamhill/dispatch/dispatch_lasting.cc
+++ b/beamhill/dispatch/dispatch_lasting.cc
@@ -34,10 +34,9 @@
 size_t Dispatcher::ProbesOn(const std::string& name, const Vm& vm) const {
   const auto since = health_.QuarantinedSince(name);
   if (!since) return 0;
-  return static_cast<size_t>(
-      std::count_if(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
-        return entry.second.since >= *since;
-      }));
+  return static_cast<size_t>(std::count_if(
+      vm.held.begin(), vm.held.end(),
+      [&](const auto& entry) { return entry.second.since >= *since; }));
 }
 
 bool Dispatcher::IsHealthyFor(const std::string& name, const Vm& vm,
@@ -119,15 +118,13 @@
   for (const auto& [name, vm] : vms_) {
     const VmStatus& status = vm.status;
     if (!vm.linked || !vm.answered || status.draining || status.life.empty() ||
-        IsEvacuated(vm) ||
-        status.service != job.progress.workflow().service ||
+        IsEvacuated(vm) || status.service != job.progress.workflow().service ||
         health_.IsQuarantined(name) || kept_room_.count(name) > 0) {
       continue;
     }
-    const bool labelled =
-        step.required_label.empty() ||
-        std::find(status.labels.begin(), status.labels.end(),
-                  step.required_label) != status.labels.end();
+    const bool labelled = step.required_label.empty() ||
+                          std::find(status.labels.begin(), status.labels.end(),
+                                    step.required_label) != status.labels.end();
     const int64_t left = status.capacity.cpu_millis - vm.serving_cpu;
     if (!labelled || left < step.each.cpu_millis) continue;
     if (best != nullptr && left <= most) continue;
--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -125,11 +125,12 @@
   Resources capacity;
   bool draining = false;
   Duration remaining{};  // While draining: the least time that is left.
+  Duration cold{};       // How much longer it is slow after its start.
 
   template <typename S>
   static auto Fields(S& s) {
     return std::tie(s.life, s.service, s.hall, s.rack, s.labels, s.capacity,
-                    s.draining, s.remaining);
+                    s.draining, s.remaining, s.cold);
   }
 };
 
@@ -355,8 +356,7 @@
                  SchedulerHeartbeat, ServiceSettingsCopy, WorkflowStored,
                  CancelStored, NoticeTaken, Question, Answer, HandOver,
                  RunTraitsList, VmPressure, PressureWeights, OwnerAnnounced,
-                 RelayedSubmit, RelayedCancel, RelayedResult,
-                 PacePolicyNotice>;
+                 RelayedSubmit, RelayedCancel, RelayedResult, PacePolicyNotice>;
 
 // The row by which a VM's executor makes itself known.
 struct VmRecord {
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -25,6 +25,9 @@
 // task failed; these outweigh any difference in load.
 constexpr double kOtherRack = 4;
 constexpr double kAvoided = 8;
+// And on a VM whose runner is slow after its start: as for a VM where nothing
+// serves, since it passes.
+constexpr double kCold = 3;
 // What ends later than this many times its objective earns nothing.
 constexpr int kLateFactor = 3;
 // A step that asks for more than this part of a service's processors is taken
@@ -336,6 +339,7 @@
       cost += kOtherRack;
     }
     if (vm_name == avoid) cost += kAvoided;
+    if (vm.cold) cost += kCold;
     if (best == nullptr || cost < best_cost) {
       best = &vm;
       best_cost = cost;
@@ -356,6 +360,8 @@
   const std::string checkpoint =
       step.saves_progress ? job.progress.At(ref).checkpoint : "";
   job.progress.OnStarted(ref, run, name, now);
+  // Its time there tells nothing of the others'.
+  if (vm.cold) job.progress.At(ref).whole = false;
   ++counts_.starts;
   StartRuns& starts =
       starts_[{name, TaskRef{ref.workflow, ref.round, ref.step, 0}}];
--- a/beamhill/dispatch/dispatch_placement_test.cc
+++ b/beamhill/dispatch/dispatch_placement_test.cc
@@ -227,5 +227,55 @@
   EXPECT_LT(order, kLate);
 }
 
+class ColdVmTest : public DispatcherTest {
+ protected:
+  // vm-1 is slow for the next 4 s, vm-2 is not.
+  void TakeOneCold() {
+    Take({});
+    colds_["vm-1"] = std::chrono::seconds(4);
+    Link("vm-1");
+    Link("vm-2");
+  }
+};
+
+TEST_F(ColdVmTest, WorkGoesToWarmVmsFirst) {
+  TakeOneCold();
+  dispatcher_->AddWorkflow(OneStep("a", 5, 2), std::nullopt, now_);
+  std::map<std::string, int> on;
+  for (const auto& start : Tick().starts) ++on[start.first];
+  // Four have room on the warm one; the fifth need not wait for the other.
+  EXPECT_EQ(on["vm-2"], 4);
+  EXPECT_EQ(on["vm-1"], 1);
+}
+
+TEST_F(ColdVmTest, IsLikeOthersOnceItIsWarm) {
+  TakeOneCold();
+  Pass(std::chrono::seconds(5), {"vm-1", "vm-2"});
+  dispatcher_->AddWorkflow(OneStep("a", 1, 2), std::nullopt, now_);
+  const auto starts = Tick().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  EXPECT_EQ(starts[0].first, "vm-1");  // The first of equals.
+}
+
+// Four tasks there take three times what is declared; the others of the step
+// are not expected to.
+TEST_F(ColdVmTest, TimesThereTellNothingOfOtherTasks) {
+  Take({});
+  colds_["vm-1"] = std::chrono::seconds(30);
+  Link("vm-1");
+  Workflow workflow = OneStep("a", 8, 2);
+  dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
+  const auto starts = Tick().starts;
+  ASSERT_THAT(starts, SizeIs(4));
+  Pass(std::chrono::seconds(3), {"vm-1"});
+  uint64_t number = 0;
+  for (const auto& [vm, run] : starts) {
+    End(vm, ++number, run, RunEndKind::kDone);
+  }
+  // The objective stays at twice eight waves of 1 s each, 4 s ago.
+  Pass(std::chrono::seconds(1), {"vm-1"});
+  EXPECT_THAT(dispatcher_->Dump(now_), testing::HasSubstr("due_ms 12000"));
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/dispatch/dispatch_pressure.cc
+++ b/beamhill/dispatch/dispatch_pressure.cc
@@ -54,6 +54,8 @@
     state.paces[load.image] = load.percent;
     state.filling_cpu_in_use += load.cpu_millis;
   }
+  // A runner that is slow after its start lengthens tails by itself.
+  if (state.cold) return;
   for (const ServingTail& serving : pressure.serving) {
     interference_.Observe(serving.image, loads, serving.tail);
   }
--- a/beamhill/dispatch/dispatch_pressure_test.cc
+++ b/beamhill/dispatch/dispatch_pressure_test.cc
@@ -70,6 +70,20 @@
   EXPECT_EQ(starts[0].first, calm_vm);
 }
 
+// A runner that is slow after its start lengthens tails by itself; the filler
+// beside it is not to blame.
+TEST_F(DispatcherPressureTest, NothingIsLearnedFromAColdVm) {
+  const std::string calm_vm = ServeCalmAndTouchy();
+  const std::string other = calm_vm == "vm-1" ? "vm-2" : "vm-1";
+  VmStatus cold = StatusOf(other);
+  cold.cold = std::chrono::seconds(30);
+  dispatcher_->OnStatus(other, cold, now_);
+  Teach(calm_vm);
+  dispatcher_->OnLinkDown(calm_vm);
+  dispatcher_->AddWorkflow(Filler(), std::nullopt, now_);
+  EXPECT_THAT(Tick().starts, SizeIs(1));  // It passes for harmless.
+}
+
 // Where a filler's image is harmful it would only be held back, after a burst
 // of harm; so even late work is started there by single runs alone, and only
 // while nothing else of it runs.
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -157,6 +157,11 @@
   Stop(name, vm, run);
 }
 
+void Dispatcher::NoteWarmth(Vm& vm, TimePoint now) {
+  vm.warm_at = now + vm.status.cold;
+  vm.cold = vm.status.cold > Duration(0);
+}
+
 void Dispatcher::TakeInventoryStatus(const std::string& name, Vm& vm,
                                      const VmStatus& status, TimePoint now) {
   if (status.life != vm.status.life) {
@@ -166,6 +171,7 @@
     vm.settled = 0;
   }
   vm.status = status;
+  NoteWarmth(vm, now);
 }
 
 void Dispatcher::StopMissing(const std::string& name, Vm& vm,
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -178,7 +178,8 @@
   Send(vm, RenewLease{options_.epoch, beat.stamp, options_.lease_term});
 }
 
-void Dispatcher::OnStatus(const std::string& vm, const VmStatus& status) {
+void Dispatcher::OnStatus(const std::string& vm, const VmStatus& status,
+                          TimePoint now) {
   Vm& state = vms_[vm];
   if (status.life != state.status.life) {
     // Its work is gone, or will be found by the next inventory.
@@ -187,6 +188,7 @@
   }
   const bool begins_to_drain = status.draining && !state.status.draining;
   state.status = status;
+  NoteWarmth(state, now);
   if (begins_to_drain) Evacuate(vm, state);
 }
 
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -83,7 +83,7 @@
   // The executor's heartbeat; answered with a lease when the VM may run work.
   void OnHeartbeat(const std::string& vm, const VmHeartbeat& beat,
                    TimePoint now);
-  void OnStatus(const std::string& vm, const VmStatus& status);
+  void OnStatus(const std::string& vm, const VmStatus& status, TimePoint now);
   // False when a run of an unknown workflow is among it: load what is stored
   // and attach anew.
   bool OnInventory(const std::string& vm, const VmInventory& inventory,
@@ -215,6 +215,9 @@
     bool linked = false;
     bool answered = false;  // Its inventory of this epoch is in.
     bool leased = false;    // It has had a lease since.
+    // Until when its runner is slow after its start, and whether it is.
+    TimePoint warm_at{};
+    bool cold = false;
     int unknown_tries = 0;
     TimePoint lease_bound{};
     // The stamp of its last heartbeat, by its clock, and when that came.
@@ -288,6 +291,7 @@
   // Takes over a run that an inventory shows; stops it when it is no run of
   // a waiting task.
   void Adopt(const std::string& name, Vm& vm, const RunRef& run, TimePoint now);
+  static void NoteWarmth(Vm& vm, TimePoint now);
   void TakeInventoryStatus(const std::string& name, Vm& vm,
                            const VmStatus& status, TimePoint now);
   // Stops the held runs that an inventory doesn't show, and again those that
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -252,7 +252,7 @@
   VmStatus draining = StatusOf("vm-1");
   draining.draining = true;
   draining.remaining = seconds(3);
-  dispatcher_->OnStatus("vm-1", draining);
+  dispatcher_->OnStatus("vm-1", draining, now_);
   EXPECT_THAT(Take().stops, ElementsAre(std::pair("vm-1", run)));
   dispatcher_->AddWorkflow(OneStep("b", 1, 2), std::nullopt, now_);
   EXPECT_THAT(Tick().starts, IsEmpty());
--- a/beamhill/dispatch/dispatcher_test_base.h
+++ b/beamhill/dispatch/dispatcher_test_base.h
@@ -61,6 +61,7 @@
     status.service = "web";
     status.rack = racks_[vm];
     status.hall = halls_[vm];
+    status.cold = colds_[vm];
     status.labels = labels_[vm];
     status.capacity = kRoom;
     return status;
@@ -142,6 +143,7 @@
   std::map<std::string, std::string> lives_;
   std::map<std::string, std::string> racks_;
   std::map<std::string, std::string> halls_;
+  std::map<std::string, Duration> colds_;
   std::map<std::string, std::vector<std::string>> labels_;
   std::unique_ptr<Dispatcher> dispatcher_;
 };
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -442,7 +442,8 @@
 
 // A registration that a cut has held up arrives when its sender has crashed and
 // a new life has registered: it must not bring the dead one back.
-// An order that was carried out late undoes a newer one: the next looks show it.
+// An order that was carried out late undoes a newer one: the next looks show
+// it.
 TEST_F(ExecutorTest, FillerThatWorksThoughItRestsIsOrderedAgain) {
   FillBesideASufferingService();
   const RunRef serving{{"w", 0, 0, 1}, 1};
--- a/beamhill/executor/harm_guard.h
+++ b/beamhill/executor/harm_guard.h
@@ -54,7 +54,7 @@
   // For how long the one has lasted that has lasted longest.
   Duration LongestOverrun() const;
 
-  Duration rest_after_;  // How long an overrun may last.
+  Duration rest_after_;                      // How long an overrun may last.
   std::map<std::string, Overrun> overruns_;  // By serving image.
   bool resting_ = false;
   bool rest_was_in_vain_ = false;
--- a/beamhill/executor/harm_guard_test.cc
+++ b/beamhill/executor/harm_guard_test.cc
@@ -15,6 +15,7 @@
   // The same tails for a while, looked at every 250 ms.
   void Observe(Duration time, const std::vector<int>& tails) {
     std::vector<ServingSample> serving;
+    serving.reserve(tails.size());
     for (const int tail : tails) {
       serving.push_back({"web", milliseconds(tail), kTarget});
     }
--- a/beamhill/halls/evacuations.h
+++ b/beamhill/halls/evacuations.h
@@ -22,8 +22,8 @@
 
 // The halls to be emptied, as of one version of the operators' table.
 struct Evacuations {
-  bool known = false;    // False until the table has been read once.
-  uint64_t version = 0;  // Of the table.
+  bool known = false;              // False until the table has been read once.
+  uint64_t version = 0;            // Of the table.
   std::vector<std::string> halls;  // Sorted.
 
   bool Holds(const std::string& hall) const;
--- a/beamhill/replay/harm_bound_test.cc
+++ b/beamhill/replay/harm_bound_test.cc
@@ -37,8 +37,8 @@
       : random_(seed), time_(kStart), policy_(policy) {
     physics_.task_of = [](const RunRef& run) { return TaskOf(run); };
     physics_.tail_alone = [](const std::string&, TimePoint) { return kAlone; };
-    physics_.added_tail = [this](const std::string& serving,
-                                 const std::string& filling, TimePoint now) {
+    physics_.added_tail = [](const std::string& serving,
+                             const std::string& filling, TimePoint now) {
       return AddedTail(serving, filling, now);
     };
     runner_ = std::make_unique<ReplayRunner>(time_, physics_,
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -291,7 +291,7 @@
     return;
   }
   if (const auto* status = std::get_if<VmStatus>(&message)) {
-    dispatcher_->OnStatus(vm, *status);
+    dispatcher_->OnStatus(vm, *status, now);
   } else if (const auto* reports = std::get_if<RunReports>(&message)) {
     dispatcher_->OnReports(vm, *reports, now);
   } else if (const auto* pressure = std::get_if<VmPressure>(&message)) {
