Give the Dispatcher's state a header of its own

What it keeps of each workflow and VM stands in internal/dispatch_state.h, with a line on each type; dispatcher.h falls from 543 to 458 lines. What moves tasks off a draining VM is called so, since evacuation now means data halls.

--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -31,7 +31,7 @@
   run_log_.Note("run_moved", run, name, reason);
 }
 
-void Dispatcher::Evacuate(const std::string& name, Vm& vm) {
+void Dispatcher::MoveOffDraining(const std::string& name, Vm& vm) {
   const auto left = static_cast<int64_t>(ToMillis(vm.status.remaining));
   Decide("", "vm_draining", name + ", " + std::to_string(left) + " ms left");
   for (const auto& [run, held] : std::map<RunRef, HeldRun>(vm.held)) {
@@ -207,7 +207,7 @@
   for (const RunRef& run : inventory.running) {
     if (state.held.count(run) == 0) Adopt(vm, state, run, now);
   }
-  if (state.status.draining) Evacuate(vm, state);
+  if (state.status.draining) MoveOffDraining(vm, state);
   SendTraits(vm, state);
   // An earlier owner may have told it otherwise.
   Send(vm, PacePolicyNotice{options_.epoch, filler_load_.policy()});
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -189,7 +189,7 @@
   const bool begins_to_drain = status.draining && !state.status.draining;
   state.status = status;
   NoteWarmth(state, now);
-  if (begins_to_drain) Evacuate(vm, state);
+  if (begins_to_drain) MoveOffDraining(vm, state);
 }
 
 void Dispatcher::OnOver(Job& job, TimePoint now) {
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -40,6 +40,7 @@
 #include "beamhill/dispatch/dispatch_messages.h"
 #include "beamhill/dispatch/dispatch_types.h"
 #include "beamhill/dispatch/filler_load.h"
+#include "beamhill/dispatch/internal/dispatch_state.h"
 #include "beamhill/dispatch/run_log.h"
 #include "beamhill/dispatch/run_times.h"
 #include "beamhill/dispatch/yield_order.h"
@@ -150,100 +151,14 @@
   // leave is taken by tasks that fill. From the workloads' sheets.
   static constexpr double kServingUse = 0.55;
 
-  struct Ticket {
-    std::string text;
-    TimePoint until{};
-  };
-  struct StepAdvice {
-    bool asked = false;  // A question is open.
-    TimePoint ask_after{};
-    std::map<std::string, Ticket> tickets;  // By life.
-  };
-  struct Job {
-    explicit Job(const Workflow& workflow) : progress(workflow) {}
-
-    WorkflowProgress progress;
-    WorkflowState stored_state = WorkflowState::kQueued;
-    TimePoint added_at{};
-    Duration allowed{};      // The objective, from its beginning.
-    bool opened = false;     // Stored under this epoch: tasks may start.
-    bool inherited = false;  // An earlier owner may have started tasks.
-    bool dirty = false;
-    // Which workflow's fillers yield first: the highest. By lateness, then by
-    // the work that is left.
-    double yield_order = 0;
-    std::optional<TimePoint> over_at;
-    uint32_t held_runs = 0;               // On all VMs.
-    std::optional<TimePoint> idle_since;  // While none of its tasks is held.
-    // It was idle for too long: until it gets on by itself, with two runs at a
-    // time, one run of it is always at work.
-    bool kept_going = false;
-    // Since when its lasting task that has been away longest is; nothing while
-    // none is.
-    std::optional<TimePoint> away_since;
-    // By round and step; for queues whose placement an advisor restricts.
-    std::map<std::pair<uint32_t, uint32_t>, StepAdvice> advice;
-  };
-  struct HeldRun {
-    Resources amount;         // Without the processor time of a filler.
-    int64_t filling_cpu = 0;  // What a filler would like of it.
-    std::string image;
-    Duration tail_target{};  // Above zero: it serves.
-    double yield_order = 0;  // Of a filler, as its executor knows it.
-    std::optional<TimePoint> starved_since;
-    TimePoint since{};  // When it was ordered; the epoch for an adopted one.
-    bool stopping = false;
-  };
-  struct ServingImage {
-    int runs = 0;
-    Duration tail_target{};
-  };
-  // What the fillers of a VM may use, by their order: behind each order, the
-  // sum up to and with it, in thousandths of a core.
-  struct FillerQueue {
-    bool known = false;
-    std::vector<std::pair<double, double>> sums;
-  };
-  // WorstTailRatio of a filler.
-  struct KnownRatio {
-    int64_t cpu_millis = 0;
-    std::string image;
-    double ratio = 0;
-  };
-  struct Vm {
-    VmStatus status;
-    bool linked = false;
-    bool answered = false;  // Its inventory of this epoch is in.
-    bool leased = false;    // It has had a lease since.
-    // Until when its runner is slow after its start, and whether it is.
-    TimePoint warm_at{};
-    bool cold = false;
-    int unknown_tries = 0;
-    TimePoint lease_bound{};
-    // The stamp of its last heartbeat, by its clock, and when that came.
-    TimePoint stamp{};
-    TimePoint stamped_at{};
-    TimePoint not_before{};  // Back-off after it refused a start.
-    std::map<RunRef, HeldRun> held;
-    Resources used;           // By what doesn't fill.
-    int64_t filling_cpu = 0;  // Asked for by what fills.
-    int64_t serving_cpu = 0;  // Part of `used` that serves.
-    std::map<std::string, ServingImage> serving;
-    std::map<std::string, int64_t> filling;  // By image, as asked for.
-    std::map<std::string, int32_t> paces;    // By filling image.
-    int64_t filling_cpu_in_use = 0;
-    uint64_t processed = 0;  // Highest end taken in, of this life.
-    uint64_t settled = 0;    // Highest end reported as durable.
-    // Worked out when first asked for, and forgotten when what they rest on
-    // changes: hundreds of VMs are asked for each start.
-    mutable FillerQueue filler_queue;
-    mutable std::vector<KnownRatio> ratios;
-    mutable uint64_t ratios_version = 0;  // Of what was learned.
-    // What its executor was told of pressure, and whether an image has come
-    // since of which it may know nothing.
-    std::vector<PressureWeight> told;
-    bool new_image = false;
-  };
+  using Ticket = dispatch_internal::Ticket;
+  using StepAdvice = dispatch_internal::StepAdvice;
+  using Job = dispatch_internal::Job;
+  using HeldRun = dispatch_internal::HeldRun;
+  using ServingImage = dispatch_internal::ServingImage;
+  using FillerQueue = dispatch_internal::FillerQueue;
+  using KnownRatio = dispatch_internal::KnownRatio;
+  using Vm = dispatch_internal::Vm;
   // By VM: the life of its runner and the number of an end.
   using EndsByVm = std::map<std::string, std::pair<std::string, uint64_t>>;
   struct OpenStepRef {
@@ -281,7 +196,7 @@
                const std::string& reason);
   // Moves off a draining VM what can't end there: its runs are stopped, and
   // start again elsewhere from their checkpoints.
-  void Evacuate(const std::string& name, Vm& vm);
+  void MoveOffDraining(const std::string& name, Vm& vm);
   // Takes the run by value: it may lie in the table that it is erased from.
   void LetGo(const std::string& name, Vm& vm, RunRef run, RunEndKind kind,
              TimePoint now);
--- /dev/null
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -0,0 +1,130 @@
+// What the Dispatcher keeps of each workflow and each VM. Its parts
+// (dispatch_*.cc) read and change these; nobody else does.
+#ifndef BEAMHILL_DISPATCH_INTERNAL_DISPATCH_STATE_H_
+#define BEAMHILL_DISPATCH_INTERNAL_DISPATCH_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "beamhill/base/time.h"
+#include "beamhill/dispatch/dispatch_messages.h"
+#include "beamhill/workflow/workflow_progress.h"
+
+namespace beamhill::dispatch_internal {
+
+// Of the placement advisor, for one runner.
+struct Ticket {
+  std::string text;
+  TimePoint until{};
+};
+
+// What the advisor has said of one step.
+struct StepAdvice {
+  bool asked = false;  // A question is open.
+  TimePoint ask_after{};
+  std::map<std::string, Ticket> tickets;  // By life.
+};
+
+// A workflow and what its owner has decided about it.
+struct Job {
+  explicit Job(const Workflow& workflow) : progress(workflow) {}
+
+  WorkflowProgress progress;
+  WorkflowState stored_state = WorkflowState::kQueued;
+  TimePoint added_at{};
+  Duration allowed{};      // The objective, from its beginning.
+  bool opened = false;     // Stored under this epoch: tasks may start.
+  bool inherited = false;  // An earlier owner may have started tasks.
+  bool dirty = false;
+  // Which workflow's fillers yield first: the highest. By lateness, then by
+  // the work that is left.
+  double yield_order = 0;
+  std::optional<TimePoint> over_at;
+  uint32_t held_runs = 0;               // On all VMs.
+  std::optional<TimePoint> idle_since;  // While none of its tasks is held.
+  // It was idle for too long: until it gets on by itself, with two runs at a
+  // time, one run of it is always at work.
+  bool kept_going = false;
+  // Since when its lasting task that has been away longest is; nothing while
+  // none is.
+  std::optional<TimePoint> away_since;
+  // By round and step; for queues whose placement an advisor restricts.
+  std::map<std::pair<uint32_t, uint32_t>, StepAdvice> advice;
+};
+
+// A run that a VM holds: ordered, and not known to be over.
+struct HeldRun {
+  Resources amount;         // Without the processor time of a filler.
+  int64_t filling_cpu = 0;  // What a filler would like of it.
+  std::string image;
+  Duration tail_target{};  // Above zero: it serves.
+  double yield_order = 0;  // Of a filler, as its executor knows it.
+  std::optional<TimePoint> starved_since;
+  TimePoint since{};  // When it was ordered; the epoch for an adopted one.
+  bool stopping = false;
+};
+
+// One image's serving tasks on a VM.
+struct ServingImage {
+  int runs = 0;
+  Duration tail_target{};
+};
+
+// What the fillers of a VM may use, by their order: behind each order, the
+// sum up to and with it, in thousandths of a core.
+struct FillerQueue {
+  bool known = false;
+  std::vector<std::pair<double, double>> sums;
+};
+
+// What was predicted of a filler that came to a VM: the worst tail over its
+// target.
+struct KnownRatio {
+  int64_t cpu_millis = 0;
+  std::string image;
+  double ratio = 0;
+};
+
+// A VM as its executor has told of it, with what it holds.
+struct Vm {
+  VmStatus status;
+  bool linked = false;
+  bool answered = false;  // Its inventory of this epoch is in.
+  bool leased = false;    // It has had a lease since.
+  // Until when its runner is slow after its start, and whether it is.
+  TimePoint warm_at{};
+  bool cold = false;
+  int unknown_tries = 0;
+  TimePoint lease_bound{};
+  // The stamp of its last heartbeat, by its clock, and when that came.
+  TimePoint stamp{};
+  TimePoint stamped_at{};
+  TimePoint not_before{};  // Back-off after it refused a start.
+  std::map<RunRef, HeldRun> held;
+  Resources used;           // By what doesn't fill.
+  int64_t filling_cpu = 0;  // Asked for by what fills.
+  int64_t serving_cpu = 0;  // Part of `used` that serves.
+  std::map<std::string, ServingImage> serving;
+  std::map<std::string, int64_t> filling;  // By image, as asked for.
+  std::map<std::string, int32_t> paces;    // By filling image.
+  int64_t filling_cpu_in_use = 0;
+  uint64_t processed = 0;  // Highest end taken in, of this life.
+  uint64_t settled = 0;    // Highest end reported as durable.
+  // Worked out when first asked for, and forgotten when what they rest on
+  // changes: hundreds of VMs are asked for each start.
+  mutable FillerQueue filler_queue;
+  mutable std::vector<KnownRatio> ratios;
+  mutable uint64_t ratios_version = 0;  // Of what was learned.
+  // What its executor was told of pressure, and whether an image has come
+  // since of which it may know nothing.
+  std::vector<PressureWeight> told;
+  bool new_image = false;
+};
+
+}  // namespace beamhill::dispatch_internal
+
+#endif  // BEAMHILL_DISPATCH_INTERNAL_DISPATCH_STATE_H_
--- a/beamhill/executor/pacer.h
+++ b/beamhill/executor/pacer.h
@@ -57,6 +57,9 @@
   int PercentOf(const std::string& image) const;
 
  private:
+  // Changes paces by feedback; for light load.
+  void ObserveCautiously(const std::vector<ServingSample>& serving,
+                         const FillingShares& filling, TimePoint now);
   double WeightMillis(const std::string& serving,
                       const std::string& filling) const;
   // After a rest: gives fillers that are known to be harmless their pace back.
@@ -75,10 +78,6 @@
                      const std::string& image) const;
   void CutImage(const std::string& image, double keep);
 
-  // Changes paces by feedback; for light load.
-  void ObserveCautiously(const std::vector<ServingSample>& serving,
-                         const FillingShares& filling, TimePoint now);
-
   PacePolicy policy_ = PacePolicy::kCautious;
   HarmGuard guard_;
   Weights weights_;
