--- a/beamhill/dispatch/dispatch_lasting.cc
+++ b/beamhill/dispatch/dispatch_lasting.cc
@@ -67,44 +67,36 @@
   }
 }
 
-// Those that have run before come first: their users are without them.
-void Dispatcher::KeepRoomForLasting(TimePoint now) {
-  kept_room_.clear();
-  struct Wait {
-    bool first_run = false;
-    TimePoint since{};
-    const Job* job = nullptr;
-    const WorkflowStep* step = nullptr;
-
-    bool operator<(const Wait& other) const {
-      return std::tie(first_run, since) <
-             std::tie(other.first_run, other.since);
-    }
-  };
-  std::vector<Wait> waits;
-  for (const auto& [id, job] : jobs_) {
-    job->away_since.reset();
-    if (!MayStart(*job)) continue;
-    const Workflow& workflow = job->progress.workflow();
-    for (uint32_t number = 0; number < workflow.steps.size(); ++number) {
-      const WorkflowStep& step = workflow.steps[number];
-      if (!step.long_running || step.gang) continue;
-      for (const auto& task : job->progress.TasksOf(0, number)) {
-        if (task.phase != WorkflowProgress::Phase::kWaiting) continue;
-        const Wait wait{!task.away_since,
-                        task.away_since.value_or(job->added_at), job.get(),
-                        &step};
-        if (wait.first_run && now - wait.since < kFirstRunPatience) continue;
-        waits.push_back(wait);
-        if (wait.first_run) continue;
-        job->away_since =
-            std::min(job->away_since.value_or(wait.since), wait.since);
+void Dispatcher::NoteLastingWaits(Job& job, TimePoint now,
+                                  std::vector<LastingWait>& waits) {
+  job.away_since.reset();
+  if (!MayStart(job)) return;
+  const Workflow& workflow = job.progress.workflow();
+  for (uint32_t number = 0; number < workflow.steps.size(); ++number) {
+    const WorkflowStep& step = workflow.steps[number];
+    if (!step.long_running || step.gang) continue;
+    for (const auto& task : job.progress.TasksOf(0, number)) {
+      if (task.phase != WorkflowProgress::Phase::kWaiting) continue;
+      if (!task.away_since) {
+        if (now - job.added_at < kFirstRunPatience) continue;
+        waits.push_back({/*first_run=*/true, job.added_at, &job, &step});
+        continue;
       }
+      waits.push_back({/*first_run=*/false, *task.away_since, &job, &step});
+      job.away_since =
+          std::min(job.away_since.value_or(*task.away_since), *task.away_since);
     }
   }
+}
+
+// Those that have run before come first: their users are without them.
+void Dispatcher::KeepRoomForLasting(TimePoint now) {
+  kept_room_.clear();
+  std::vector<LastingWait> waits;
+  for (const auto& [id, job] : jobs_) NoteLastingWaits(*job, now, waits);
   std::sort(waits.begin(), waits.end());
   const size_t most = 1 + vms_.size() / kKeptVmsDivisor;
-  for (const Wait& wait : waits) {
+  for (const LastingWait& wait : waits) {
     if (kept_room_.size() >= most) break;
     KeepRoomFor(*wait.job, *wait.step);
   }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -159,6 +159,7 @@
   using FillerQueue = dispatch_internal::FillerQueue;
   using KnownRatio = dispatch_internal::KnownRatio;
   using Vm = dispatch_internal::Vm;
+  using LastingWait = dispatch_internal::LastingWait;
   // By VM: the life of its runner and the number of an end.
   using EndsByVm = std::map<std::string, std::pair<std::string, uint64_t>>;
   struct OpenStepRef {
@@ -338,6 +339,10 @@
   void RefreshLasting(TimePoint now);
   // Ends the quarantine of VMs on which a lasting task has stayed at work.
   void PassLastingProbes(TimePoint now);
+  // Notes which of the job's lasting tasks have waited for too long, and since
+  // when it has been without one that ran before.
+  void NoteLastingWaits(Job& job, TimePoint now,
+                        std::vector<LastingWait>& waits);
   // Keeps a VM's room free for each lasting task that waits for too long.
   void KeepRoomForLasting(TimePoint now);
   void KeepRoomFor(const Job& job, const WorkflowStep& step);
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -56,6 +57,19 @@
   std::map<std::pair<uint32_t, uint32_t>, StepAdvice> advice;
 };
 
+// A lasting task that waits for room. Those that ran before come first, then
+// those that have waited longest.
+struct LastingWait {
+  bool first_run = false;
+  TimePoint since{};
+  const Job* job = nullptr;
+  const WorkflowStep* step = nullptr;
+
+  bool operator<(const LastingWait& other) const {
+    return std::tie(first_run, since) < std::tie(other.first_run, other.since);
+  }
+};
+
 // A run that a VM holds: ordered, and not known to be over.
 struct HeldRun {
   Resources amount;         // Without the processor time of a filler.
