Show a cancellation at once, not only once its progress is stored

An end is shown once the progress that holds it is stored, some ten milliseconds later; a cancellation is stored by a row of its own before the owner hears of it, so that nothing has to be waited for. Change: the owner shows cancelled from when it knows of it. A Dispatcher test failed first; the process test stays as it was.

--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -122,9 +122,11 @@
   const auto it = jobs_.find(workflow);
   if (it == jobs_.end()) return std::nullopt;
   const Job& job = *it->second;
-  if (!job.progress.over() || job.stored_state == job.progress.state()) {
-    return job.progress.state();
-  }
+  const WorkflowState state = job.progress.state();
+  // A cancellation is stored by itself before the owner hears of it.
+  const bool stored =
+      job.stored_state == state || state == WorkflowState::kCancelled;
+  if (!job.progress.over() || stored) return state;
   return job.progress.begun() ? WorkflowState::kRunning
                               : WorkflowState::kQueued;
 }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -68,7 +68,8 @@
   void Cancel(const std::string& workflow, TimePoint now);
   bool Knows(const std::string& workflow) const;
 
-  // The state that may be shown: an end counts once it is stored.
+  // The state that may be shown: an end counts once it is stored, which a
+  // cancellation is from the beginning.
   std::optional<WorkflowState> StateOf(const std::string& workflow) const;
   // Workflows of the queue of which nothing has begun.
   uint64_t WaitingIn(const std::string& queue) const;
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -308,5 +308,18 @@
   EXPECT_FALSE(dispatcher_->Knows("a"));
 }
 
+// Its runs may be gone before the progress is stored: who has been told that it
+// is cancelled must not be told that it runs.
+TEST_F(DispatcherTest, CancelledWorkIsShownSoAtOnce) {
+  Take({});
+  Link("vm-1");
+  dispatcher_->AddWorkflow(OneStep("a", 1, 2), std::nullopt, now_);
+  const auto starts = Tick().starts;
+  ASSERT_THAT(starts, SizeIs(1));
+  dispatcher_->Cancel("a", now_);
+  End("vm-1", 1, starts[0].second, RunEndKind::kStopped);
+  EXPECT_EQ(dispatcher_->StateOf("a"), WorkflowState::kCancelled);
+}
+
 }  // namespace
 }  // namespace beamhill
