Say which runs had just begun on a runner that was lost

The owner logged every run that it lets go as lapsed, whether a lease ran out, the runner was replaced or it left; an executor said nothing of a loss at all.

Change (sight only, no decision): executors remember what had begun within a second of the runner's last answer (RecentStarts) and log it with runner_lost, when a life ends that hadn't said that it leaves; a counter beside it. run_let_go says why.

--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -112,18 +112,19 @@
 }
 
 void Dispatcher::LetGo(const std::string& name, Vm& vm, RunRef run,
-                       RunEndKind kind, TimePoint now) {
+                       const char* why, TimePoint now) {
   Release(vm, run);
   ++counts_.lapsed;
   Job* job = Find(run.task.workflow);
   if (job == nullptr) return;
-  job->progress.OnEnded(run.task, run.run, kind, "", now);
-  run_log_.Note("run_let_go", run, name, std::string(RunEndKindName(kind)));
+  job->progress.OnEnded(run.task, run.run, RunEndKind::kLapsed, "", now);
+  run_log_.Note("run_let_go", run, name, why);
 }
 
-void Dispatcher::LetGoAll(const std::string& name, Vm& vm, TimePoint now) {
+void Dispatcher::LetGoAll(const std::string& name, Vm& vm, const char* why,
+                          TimePoint now) {
   while (!vm.held.empty()) {
-    LetGo(name, vm, vm.held.begin()->first, RunEndKind::kLapsed, now);
+    LetGo(name, vm, vm.held.begin()->first, why, now);
   }
 }
 
@@ -166,7 +167,8 @@
                                      const VmStatus& status, TimePoint now) {
   if (status.life != vm.status.life) {
     // Another life of the runner: all that the earlier one ran is gone.
-    LetGoAll(name, vm, now);
+    LetGoAll(name, vm, status.life.empty() ? "runner gone" : "runner replaced",
+             now);
     vm.processed = 0;
     vm.settled = 0;
   }
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -225,7 +225,7 @@
   for (auto& [name, vm] : vms_) {
     if (vm.held.empty() || !IsPast(vm.lease_bound, now)) continue;
     Decide("", "vm_lapsed", name);
-    LetGoAll(name, vm, now);
+    LetGoAll(name, vm, "lease over", now);
     if (vm.answered) {
       vm.answered = false;
       vm.leased = false;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -200,9 +200,11 @@
   // start again elsewhere from their checkpoints.
   void MoveOffDraining(const std::string& name, Vm& vm);
   // Takes the run by value: it may lie in the table that it is erased from.
-  void LetGo(const std::string& name, Vm& vm, RunRef run, RunEndKind kind,
+  // `why` is for the log.
+  void LetGo(const std::string& name, Vm& vm, RunRef run, const char* why,
              TimePoint now);
-  void LetGoAll(const std::string& name, Vm& vm, TimePoint now);
+  void LetGoAll(const std::string& name, Vm& vm, const char* why,
+                TimePoint now);
   // Whether every workflow with a run in the inventory is known here.
   bool AllKnown(const VmInventory& inventory);
   // Takes over a run that an inventory shows; stops it when it is no run of
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -54,8 +54,18 @@
   return clock_ + std::chrono::duration_cast<RunnerClock>(safe);
 }
 
+void Executor::NoteRunnerLost() {
+  ++counts_.runners_lost;
+  const auto silent =
+      static_cast<int64_t>(ToMillis(hooks_.now() - last_answer_));
+  hooks_.log("runner_lost", "",
+             status_.life + ", last heard " + std::to_string(silent) +
+                 " ms ago; had just begun: " + RunNames(recent_starts_.Runs()));
+}
+
 void Executor::ResetLife() {
   orders_.clear();
+  recent_starts_.Clear();
   paced_.clear();
   settled_ = 0;
   highest_listed_ = 0;
@@ -86,6 +96,7 @@
   const bool new_life = status.life != status_.life;
   const bool changed = !SameStatus(status, status_);
   if (new_life) {
+    if (!status_.life.empty() && !IsLeaving()) NoteRunnerLost();
     std::string labels;
     for (const std::string& label : status.labels) labels += " " + label;
     hooks_.log("runner_registered", "",
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -26,6 +26,7 @@
 #include "beamhill/base/time.h"
 #include "beamhill/dispatch/dispatch_messages.h"
 #include "beamhill/executor/pacer.h"
+#include "beamhill/executor/recent_starts.h"
 #include "beamhill/executor/task_runner.h"
 
 namespace beamhill {
@@ -62,6 +63,7 @@
   uint64_t looks = 0;
   uint64_t paces = 0;
   uint64_t stale_orders = 0;
+  uint64_t runners_lost = 0;
 };
 
 class Executor {
@@ -119,6 +121,10 @@
   // Whether a later life has registered since.
   bool IsEarlierLife(const std::string& life) const;
   void NoteEarlierLife(const std::string& life);
+  // Whether the runner's last life has said that it leaves.
+  bool IsLeaving() const { return leaving_since_ || status_.draining; }
+  // The runner's last life is over, though it had not said that it leaves.
+  void NoteRunnerLost();
   // Forgets all that belongs to one life of the runner.
   void ResetLife();
   void NoteClock(const std::optional<RunnerClock>& clock);
@@ -217,6 +223,7 @@
   TimePoint last_answer_{};  // Of the runner, to any call.
 
   std::map<RunRef, Order> orders_;
+  RecentStarts recent_starts_;
   std::map<RunRef, Paced> paced_;
   Pacer pacer_;
   PacePolicy pace_policy_ = PacePolicy::kCautious;
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -84,9 +84,11 @@
   }
   NoteClock(view.reply.clock);
   last_answer_ = now;
+  recent_starts_.OnHeard(sent_at);
   for (const RunEnd& end : view.ended) {
     highest_listed_ = std::max(highest_listed_, end.number);
     paced_.erase(end.run);
+    recent_starts_.OnOver(end.run);
   }
   if (inventory_wanted_ && owner_link_) SendInventory(view);
   ReportEnds(view);
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -58,6 +58,7 @@
     return;
   }
   ++counts_.starts;
+  recent_starts_.OnAsked(run, hooks_.now());
   Order& order = orders_[run];
   order.call_open = true;
   order.since = hooks_.now();
@@ -76,7 +77,10 @@
   if (it == orders_.end()) return;
   Order& order = it->second;
   order.call_open = false;
-  if (Spoke(reply.verdict)) last_answer_ = hooks_.now();
+  if (Spoke(reply.verdict)) {
+    last_answer_ = hooks_.now();
+    recent_starts_.OnHeard(order.since);
+  }
   if (order.phase == Phase::kStopping) {
     CallStop(run, order);
     return;
@@ -107,6 +111,7 @@
 void Executor::NotBegun(const RunRef& run, NotBegunReason reason) {
   orders_.erase(run);
   paced_.erase(run);
+  recent_starts_.OnOver(run);
   hooks_.log("run_not_begun", run.task.ToString(),
              "run " + std::to_string(run.run) + ": " +
                  std::string(NotBegunReasonName(reason)));
--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -64,6 +64,9 @@
   gauge("beamhill_stale_orders_total",
         "Orders of an earlier owner, link or runner.",
         &ExecutorCounts::stale_orders);
+  gauge("beamhill_runners_lost_total",
+        "Lives of the runner that ended unannounced.",
+        &ExecutorCounts::runners_lost);
 }
 
 Status ExecutorProcess::Listen() {
--- /dev/null
+++ b/beamhill/executor/executor_test_base.h
@@ -0,0 +1,153 @@
+// An Executor beside a runner whose answers the test gives, under an owner that
+// records what it is told; for the Executor's tests.
+//
+//   TEST_F(ExecutorTest, StartsWhatItIsTold) {
+//     Register("life-1");
+//     Attach(1);
+//     Start(kRun, 1);
+//     EXPECT_THAT(starts_, SizeIs(1));
+//   }
+#ifndef BEAMHILL_EXECUTOR_EXECUTOR_TEST_BASE_H_
+#define BEAMHILL_EXECUTOR_EXECUTOR_TEST_BASE_H_
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "beamhill/executor/executor.h"
+
+namespace beamhill {
+
+inline constexpr uint64_t kLink = 1;
+inline const RunRef kRun{{"w", 0, 0, 0}, 1};
+
+// A runner whose answers the test gives, and an owner that records.
+class ExecutorTest : public testing::Test {
+ protected:
+  ExecutorTest() {
+    TaskRunner runner;
+    runner.start = [this](RunnerStart call, auto done) {
+      starts_.push_back({std::move(call), done});
+    };
+    runner.stop = [this](RunnerStop call, auto done) {
+      stops_.push_back({std::move(call), done});
+    };
+    runner.pace = [this](RunnerPace call, auto done) {
+      paces_.push_back({std::move(call), done});
+    };
+    runner.look = [this](RunnerLook call, auto done) {
+      looks_.push_back({std::move(call), done});
+    };
+    ExecutorHooks hooks;
+    hooks.now = [this] { return now_; };
+    hooks.send = [this](uint64_t link, const DispatchMessage& message) {
+      sent_.push_back({link, message});
+    };
+    hooks.log = [this](const std::string& event, const std::string&,
+                       const std::string& detail) {
+      logged_[event].push_back(detail);
+    };
+    executor_ =
+        std::make_unique<Executor>(ExecutorOptions{}, std::move(runner), hooks);
+  }
+
+  int last_pace_ = -1;
+
+  void Register(const std::string& life) {
+    VmStatus status;
+    status.life = life;
+    status.capacity = {8000, 16000, 0};
+    executor_->OnRunner(status, RunnerClock(1000));
+  }
+
+  // The oldest open look is answered with what runs and what has ended.
+  void AnswerLook(std::vector<RunningRun> running = {},
+                  std::vector<RunEnd> ended = {}) {
+    for (int i = 0; looks_.empty() && i < 20; ++i) {
+      Pass(std::chrono::milliseconds(100));
+    }
+    ASSERT_FALSE(looks_.empty());
+    const auto [call, done] = looks_.front();
+    looks_.pop_front();
+    last_look_ = call;
+    done({{RunnerVerdict::kDone, RunnerClock(1000)},
+          std::move(running),
+          std::move(ended)});
+  }
+
+  void Attach(uint64_t epoch) {
+    executor_->OnMessage(kLink, ::beamhill::Attach{"a", epoch});
+    AnswerLook();
+    executor_->OnMessage(kLink,
+                         RenewLease{epoch, now_, std::chrono::seconds(5)});
+  }
+
+  void Start(const RunRef& run, uint64_t epoch, Duration tail_target = {},
+             bool fills = false, double yield_order = 0) {
+    StartRuns starts;
+    starts.epoch = epoch;
+    starts.life = executor_->status().life;
+    starts.workflow = run.task.workflow;
+    starts.traits.image = "img";
+    starts.traits.fills = fills;
+    starts.traits.tail_target = tail_target;
+    starts.traits.cpu_millis = 2000;
+    starts.traits.yield_order = yield_order;
+    starts.runs = {{run.task.index, run.run, "", ""}};
+    executor_->OnMessage(kLink, starts);
+  }
+
+  // For 1.2 s, kRun fills beside a serving task that is far over its target.
+  void FillBesideASufferingService() {
+    Register("life-1");
+    Attach(1);
+    const RunRef serving{{"w", 0, 0, 1}, 1};
+    Start(kRun, 1, {}, /*fills=*/true);
+    Start(serving, 1, std::chrono::milliseconds(20));
+    for (auto& [call, done] : std::exchange(starts_, {})) {
+      done({RunnerVerdict::kDone, std::nullopt});
+    }
+    for (int i = 0; i < 4; ++i) {
+      Pass(std::chrono::milliseconds(300));
+      AnswerLook({{kRun, 50, 4000}, {serving, 100, 45}});
+    }
+  }
+
+  template <typename T>
+  std::vector<T> Sent() {
+    std::vector<T> found;
+    for (const auto& [link, message] : sent_) {
+      if (const auto* m = std::get_if<T>(&message)) found.push_back(*m);
+    }
+    return found;
+  }
+
+  void Pass(Duration time) {
+    const TimePoint end = now_ + time;
+    while (now_ < end) {
+      now_ += std::chrono::milliseconds(100);
+      executor_->Tick();
+    }
+  }
+
+  TimePoint now_{std::chrono::hours(1)};
+  std::unique_ptr<Executor> executor_;
+  std::deque<std::pair<RunnerStart, std::function<void(RunnerReply)>>> starts_;
+  std::deque<std::pair<RunnerStop, std::function<void(RunnerReply)>>> stops_;
+  std::deque<std::pair<RunnerPace, std::function<void(RunnerReply)>>> paces_;
+  std::deque<std::pair<RunnerLook, std::function<void(RunnerView)>>> looks_;
+  RunnerLook last_look_;
+  std::vector<std::pair<uint64_t, DispatchMessage>> sent_;
+  std::map<std::string, std::vector<std::string>> logged_;  // By event.
+};
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_EXECUTOR_EXECUTOR_TEST_BASE_H_
