Own interface: start a task that loses its workers more rarely

An agent whose worker no longer has a task reported it as evicted, which queues it again at once and counts nothing: a task that takes its workers down would be started without end there too, and take its neighbours' work along.

Change: such an end has a kind of its own (lost), unless a stop was ordered. The ledger queues the task at once after the first, and from the second loss on waits as after failures: 1 s, doubling, 5 minutes at most. It is never given up, since nothing here tells it from its neighbours.

Ruled out: giving it up after a count, as on the platform. That rests on knowing which tasks had just begun, and on trials; this scheduler has neither.

Before: 8 losses within no time at all; after: over 60 s (ATaskThatIsLostAgainAndAgainIsStartedMoreRarely).

--- a/beamhill/agent/agent_core.cc
+++ b/beamhill/agent/agent_core.cc
@@ -293,8 +293,10 @@
                                std::vector<TaskOutcome>* ended) {
   if (local.phase == Phase::kRunning) {
     if (local.confirmed_at >= sent_at) return;
-    ended->push_back({task, local.attempt, OutcomeKind::kEvicted, "",
-                      "the worker no longer has it"});
+    const OutcomeKind kind =
+        local.stop_wanted ? OutcomeKind::kEvicted : OutcomeKind::kLost;
+    ended->push_back(
+        {task, local.attempt, kind, "", "the worker no longer has it"});
     return;
   }
   if (sent_at >= local.start_lease_end) {
--- a/beamhill/agent/agent_core_test.cc
+++ b/beamhill/agent/agent_core_test.cc
@@ -165,6 +165,17 @@
   EXPECT_EQ(core_->unsettled(), 0U);
 }
 
+TEST_F(AgentCoreTest, TaskThatItsWorkerHasNoLongerIsLostAndNotEvicted) {
+  const Attempt attempt = Attempt::Make(1, 1);
+  Start(0, 1, kStart);
+  core_->OnStartAnswer({"j", 0}, attempt, WorkerStartAnswer::kStarted, "",
+                       kStart);
+  core_->OnWorkerList({}, kStart + seconds(1));
+  const auto outcomes = Outcomes();
+  ASSERT_EQ(outcomes.size(), 1U);
+  EXPECT_EQ(outcomes[0].kind, OutcomeKind::kLost);
+}
+
 TEST_F(AgentCoreTest, CheckpointsBeforeItsLeaseLapses) {
   Start(0, 1, kStart);
   core_->TakeCommands();
--- a/beamhill/cell/cell_owner.cc
+++ b/beamhill/cell/cell_owner.cc
@@ -255,6 +255,9 @@
     case OutcomeKind::kRefused:
       ++counts_.refused;
       break;
+    case OutcomeKind::kLost:
+      ++counts_.lost;
+      break;
   }
   if (outcome.kind == OutcomeKind::kRefused) {
     settle_now->push_back(key);
--- a/beamhill/cell/cell_owner.h
+++ b/beamhill/cell/cell_owner.h
@@ -105,6 +105,7 @@
   uint64_t failed = 0;
   uint64_t evicted = 0;
   uint64_t refused = 0;
+  uint64_t lost = 0;  // With their workers.
   uint64_t requeued_vms = 0;
   uint64_t evictions_ordered = 0;
   uint64_t stale_messages = 0;
--- a/beamhill/cell/range_ledger.cc
+++ b/beamhill/cell/range_ledger.cc
@@ -121,8 +121,22 @@
     Finalize(index, &failed_);
     return;
   }
+  QueueUntil(index, record, now + RetryDelay(record.failures));
+}
+
+// A task that takes its workers down would do so without end, and is never
+// heard to fail. It can't be told from its neighbours here, so it is only
+// started more and more rarely; a single loss costs nobody a wait.
+void RangeLedger::OnLost(uint32_t index, Record& record, TimePoint now) {
+  ++record.losses;
+  const bool again = record.losses > 1;
+  QueueUntil(index, record, again ? now + RetryDelay(record.losses - 1) : now);
+}
+
+void RangeLedger::QueueUntil(uint32_t index, Record& record,
+                             TimePoint not_before) {
   SetState(index, record, State::kUnknown);
-  record.not_before = now + RetryDelay(record.failures);
+  record.not_before = not_before;
   SetState(index, record, State::kQueued);
 }
 
@@ -164,6 +178,9 @@
   if (outcome.kind == OutcomeKind::kFailed && is_current) {
     OnFailed(index, record, now);
     effect.changed = true;
+  } else if (outcome.kind == OutcomeKind::kLost && is_current) {
+    OnLost(index, record, now);
+    effect.changed = true;
   } else {
     SetState(index, record, State::kQueued);
   }
--- a/beamhill/cell/range_ledger.h
+++ b/beamhill/cell/range_ledger.h
@@ -100,6 +100,7 @@
     std::string checkpoint;
     Attempt checkpoint_attempt;
     uint32_t failures = 0;
+    uint32_t losses = 0;  // With its worker.
     TimePoint not_before{};
   };
 
@@ -108,6 +109,9 @@
   void EraseRecord(uint32_t index);
   void Finalize(uint32_t index, IndexSet* into);
   void OnFailed(uint32_t index, Record& record, TimePoint now);
+  void OnLost(uint32_t index, Record& record, TimePoint now);
+  // Back to the queue, to be started no earlier than that.
+  void QueueUntil(uint32_t index, Record& record, TimePoint not_before);
   void KeepCheckpoint(Record& record, const TaskOutcome& outcome);
 
   JobSpec job_;
--- a/beamhill/cell/range_ledger_test.cc
+++ b/beamhill/cell/range_ledger_test.cc
@@ -99,6 +99,23 @@
   EXPECT_EQ(ledger.failed(), 1U);
 }
 
+// A task that takes its workers down never ends as failed. It was queued again
+// at once each time, as if it had been evicted, and lost its neighbours' work
+// with each worker.
+TEST(RangeLedger, ATaskThatIsLostAgainAndAgainIsStartedMoreRarely) {
+  RangeLedger ledger(Row(1, 1), false, nullptr);
+  TimePoint now = kNow;
+  for (uint64_t i = 1; i <= 8; ++i) {
+    while (!ledger.NextStartable(now)) now += std::chrono::milliseconds(100);
+    ledger.OnStarted(0, "a", Attempt::Make(1, i));
+    ledger.OnOutcome("a", Outcome(0, Attempt::Make(1, i), OutcomeKind::kLost),
+                     now);
+    EXPECT_EQ(ledger.NextStartable(now).has_value(), i == 1) << i;
+  }
+  EXPECT_GE(now - kNow, std::chrono::seconds(60));
+  EXPECT_FALSE(ledger.IsFinished());
+}
+
 TEST(RangeLedger, CancelKeepsWhatRunsUntilItHasStopped) {
   RangeLedger ledger(Row(3, 3), false, nullptr);
   ledger.OnStarted(0, "a", kFirst);
--- a/beamhill/entry/entry.cc
+++ b/beamhill/entry/entry.cc
@@ -330,6 +330,7 @@
       item["starts"] = owner->counts().starts;
       item["done"] = owner->counts().done;
       item["evicted"] = owner->counts().evicted;
+      item["lost"] = owner->counts().lost;
       item["unaccounted_vms"] = owner->unaccounted();
       for (const auto& [job, ledger] : owner->ranges()) {
         item["ranges"].push_back({{"job", job},
--- a/beamhill/work/work.cc
+++ b/beamhill/work/work.cc
@@ -42,6 +42,8 @@
       return "evicted";
     case OutcomeKind::kRefused:
       return "refused";
+    case OutcomeKind::kLost:
+      return "lost";
   }
   return "unknown";
 }
--- a/beamhill/work/work.h
+++ b/beamhill/work/work.h
@@ -96,6 +96,7 @@
   kFailed,   // The task ran and failed.
   kEvicted,  // Stopped on purpose; `checkpoint` holds its progress, if any.
   kRefused,  // The agent or worker did not start it; it has not run.
+  kLost,     // The worker has it no longer, though nobody stopped it.
 };
 
 // How one attempt ended.
