Keep the ends that a runner listed before it was gone

Cause: an end that an executor hears while no owner is linked to it was not kept but asked of the runner again once one was; of a runner that had left (or was lost) meanwhile there is nobody to ask, so that its task was started once more though it was done.

Change: what an executor has seen of its runner's present life is in one place (LifeRecord, was RecentStarts). When the life is over, ends that were listed and not settled are kept with it and told to each owner for 30 s, as the losses are (PastLife). The owner takes those that say something of the task, done or failed, before it lets the earlier life's work go.

Ruled out: an inventory with the earlier life's ends in place of the empty one. Sent to an owner that knows the next life already, it would let go what runs there.

--- a/beamhill/dispatch/dispatch_crashes.cc
+++ b/beamhill/dispatch/dispatch_crashes.cc
@@ -43,7 +43,7 @@
 }  // namespace
 
 void Dispatcher::NoteLostRunner(const std::string& name, Vm& vm,
-                                const LostRunner& lost, TimePoint now) {
+                                const PastLife& lost, TimePoint now) {
   if (vm.lost_life != lost.life) {
     vm.lost_life = lost.life;
     vm.lost_at = now;
--- a/beamhill/dispatch/dispatch_crashes_test.cc
+++ b/beamhill/dispatch/dispatch_crashes_test.cc
@@ -8,7 +8,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::Contains;
-using testing::IsEmpty;
 using testing::SizeIs;
 
 const std::vector<std::string> kVms = {"vm-1", "vm-2", "vm-3", "vm-4"};
--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -120,7 +120,7 @@
     return name != except && Fits(vm, name, job, step, now) &&
            FreeCpuFor(vm, kLastOrder) >=
                static_cast<double>(step.each.cpu_millis) &&
-           WorstTailRatio(vm, step) < kHarmfulRatio;
+           WorstTailRatio(vm, step) < dispatch_internal::kHarmfulRatio;
   });
 }
 
--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -29,7 +29,8 @@
 double Dispatcher::FreeCores(const Vm& vm) {
   const auto room = static_cast<double>(vm.status.capacity.cpu_millis -
                                         (vm.used.cpu_millis - vm.serving_cpu));
-  const double serving = kServingUse * static_cast<double>(vm.serving_cpu);
+  const double serving =
+      dispatch_internal::kServingUse * static_cast<double>(vm.serving_cpu);
   return (room - serving) / kMillisOfCore;
 }
 
@@ -62,7 +63,8 @@
   const auto target = tail_targets_.find(serving);
   const auto tail = interference_.Predict(serving, {{filling, kUsualShare}});
   if (!tail || target == tail_targets_.end()) return false;
-  return ToMillis(*tail) > kHarmfulRatio * ToMillis(target->second);
+  return ToMillis(*tail) >
+         dispatch_internal::kHarmfulRatio * ToMillis(target->second);
 }
 
 void Dispatcher::RefreshLayout(TimePoint now) {
@@ -88,8 +90,8 @@
   ServingLayout::Images after = before;
   after.insert(image);
   const double free = FreeCores(vm);
-  const double used =
-      kServingUse * static_cast<double>(cpu_millis) / kMillisOfCore;
+  const double used = dispatch_internal::kServingUse *
+                      static_cast<double>(cpu_millis) / kMillisOfCore;
   return layout_.Worth(before, free) - layout_.Worth(after, free - used);
 }
 
@@ -102,7 +104,8 @@
     const bool serves = held.tail_target > Duration(0);
     if (serves && held.image == image) cpu += held.amount.cpu_millis;
   }
-  const double freed = kServingUse * static_cast<double>(cpu) / kMillisOfCore;
+  const double freed =
+      dispatch_internal::kServingUse * static_cast<double>(cpu) / kMillisOfCore;
   return layout_.Worth(after, FreeCores(vm) + freed) - before;
 }
 
--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -153,16 +153,18 @@
 // take effect. Each tenth more names a tenth more bystanders.
 inline constexpr Duration kCrashWindow = std::chrono::seconds(1);
 
-// A life of a runner that ended though it had not said that it leaves.
-struct LostRunner {
+// A life of a runner that is over, as its executor last saw it.
+struct PastLife {
   std::string life;
+  bool announced = false;     // It had said that it leaves.
+  std::vector<RunEnd> ended;  // Listed and not settled.
   // What had begun within kCrashWindow of its last sign of life.
   std::vector<RunRef> just_begun;
   std::vector<RunRef> others;  // What else was last seen to run there.
 
   template <typename S>
   static auto Fields(S& s) {
-    return std::tie(s.life, s.just_begun, s.others);
+    return std::tie(s.life, s.announced, s.ended, s.just_begun, s.others);
   }
 };
 
@@ -173,11 +175,13 @@
   std::vector<RunRef> running;
   std::vector<RunRef> pending;  // Ordered under this epoch, not settled yet.
   std::vector<RunEnd> ended;
-  std::vector<LostRunner> lost;  // Of late, whoever was told of them.
+  // Those that ended of late, the newest last, whoever was told of them.
+  std::vector<PastLife> past_lives;
 
   template <typename S>
   static auto Fields(S& s) {
-    return std::tie(s.epoch, s.status, s.running, s.pending, s.ended, s.lost);
+    return std::tie(s.epoch, s.status, s.running, s.pending, s.ended,
+                    s.past_lives);
   }
 };
 
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -297,10 +297,12 @@
       static_cast<double>(std::max<int64_t>(vm.status.capacity.cpu_millis, 1));
   if (step.fills) {
     const double busy =
-        (used - serving + kServingUse * serving + filling) / whole;
+        (used - serving + dispatch_internal::kServingUse * serving + filling) /
+        whole;
     if (vm.serving.empty()) return busy;
     const double ratio = WorstTailRatio(vm, step);
-    const double harm = ratio > kHarmfulRatio ? kHarmCost * ratio : ratio;
+    const double harm =
+        ratio > dispatch_internal::kHarmfulRatio ? kHarmCost * ratio : ratio;
     return busy + harm;
   }
   if (step.tail_target > Duration(0)) {
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -200,9 +200,12 @@
   }
   state.unknown_tries = 0;
   state.told.clear();  // Its executor may be another.
+  for (const PastLife& past : inventory.past_lives) {
+    ApplyPastEnds(vm, state, past, now);
+  }
   TakeInventoryStatus(vm, state, inventory.status, now);
-  for (const LostRunner& lost : inventory.lost) {
-    NoteLostRunner(vm, state, lost, now);
+  for (const PastLife& past : inventory.past_lives) {
+    if (!past.announced) NoteLostRunner(vm, state, past, now);
   }
   state.answered = true;
   // Good until the first lease: what is reported here runs under leases that
@@ -266,6 +269,31 @@
                           TimePoint now) {
   if (end.number <= vm.processed) return;
   vm.processed = end.number;
+  Job* job = Find(end.run.task.workflow);
+  if (job != nullptr && job->progress.Has(end.run.task)) {
+    NoteOutcome(name, *job, end, now);
+  }
+  TakeEnd(name, vm, end, now);
+}
+
+// Only ends that say something of the task: a checkpoint of an earlier life may
+// be older than what is known by now.
+void Dispatcher::ApplyPastEnds(const std::string& name, Vm& vm,
+                               const PastLife& past, TimePoint now) {
+  for (const RunEnd& end : past.ended) {
+    if (end.kind != RunEndKind::kDone && end.kind != RunEndKind::kFailed) {
+      continue;
+    }
+    if (past.life == vm.status.life) {
+      ApplyEnd(name, vm, end, now);
+    } else {
+      TakeEnd(name, vm, end, now);
+    }
+  }
+}
+
+void Dispatcher::TakeEnd(const std::string& name, Vm& vm, const RunEnd& end,
+                         TimePoint now) {
   const RunRef& run = end.run;
   Release(vm, run);
   Job* job = Find(run.task.workflow);
@@ -277,7 +305,6 @@
   const RunRef other{run.task, task.run};
   const std::string other_vm = task.vm;
   const bool was_over = job->progress.over();
-  NoteOutcome(name, *job, end, now);
   if (job->progress.OnEnded(run.task, run.run, end.kind, end.checkpoint, now)) {
     MarkDirty(*job);
   }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -144,14 +144,6 @@
   std::string Dump(TimePoint now) const;
 
  private:
-  // A filler that is expected to bring a serving image above this part of its
-  // target is harmful to it: it is kept away, or paced once there; so such a
-  // place comes last.
-  static constexpr double kHarmfulRatio = 0.85;
-  // Share of what serving tasks ask for that they use on average; what they
-  // leave is taken by tasks that fill. From the workloads' sheets.
-  static constexpr double kServingUse = 0.55;
-
   using Ticket = dispatch_internal::Ticket;
   using StepAdvice = dispatch_internal::StepAdvice;
   using Job = dispatch_internal::Job;
@@ -226,6 +218,12 @@
   void LearnRunTime(const Job& job, const TaskRef& ref);
   void ApplyEnd(const std::string& name, Vm& vm, const RunEnd& end,
                 TimePoint now);
+  // Takes in ends that an earlier life of the runner had listed, when its work
+  // is not let go yet; they may be told more than once.
+  void ApplyPastEnds(const std::string& name, Vm& vm, const PastLife& past,
+                     TimePoint now);
+  void TakeEnd(const std::string& name, Vm& vm, const RunEnd& end,
+               TimePoint now);
   void ApplyNotBegun(const std::string& name, Vm& vm,
                      const RunNotBegun& refused, TimePoint now);
 
@@ -357,7 +355,7 @@
   // In dispatch_crashes.cc.
   // Counts the runner's loss against the tasks that had just begun there, and
   // clears the others.
-  void NoteLostRunner(const std::string& name, Vm& vm, const LostRunner& lost,
+  void NoteLostRunner(const std::string& name, Vm& vm, const PastLife& lost,
                       TimePoint now);
   // The VM's executor is there, but its runner has been silent until the lease
   // was over: counts that against what had just begun, until more is known.
--- a/beamhill/dispatch/dispatcher_test_base.h
+++ b/beamhill/dispatch/dispatcher_test_base.h
@@ -94,7 +94,7 @@
          {},
          {},
          {},
-         {{lost, std::move(just_begun), std::move(others)}}},
+         {{lost, false, {}, std::move(just_begun), std::move(others)}}},
         now_);
     dispatcher_->OnHeartbeat(vm, {2, now_}, now_);
   }
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -17,6 +17,14 @@
 
 namespace beamhill::dispatch_internal {
 
+// A filler that is expected to bring a serving image above this part of its
+// target is harmful to it: it is kept away, or paced once there; so such a
+// place comes last.
+inline constexpr double kHarmfulRatio = 0.85;
+// Share of what serving tasks ask for that they use on average; what they leave
+// is taken by tasks that fill. From the workloads' sheets.
+inline constexpr double kServingUse = 0.55;
+
 // Of the placement advisor, for one runner.
 struct Ticket {
   std::string text;
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -1,7 +1,6 @@
 #include "beamhill/executor/executor.h"
 
 #include <algorithm>
-#include <iterator>
 #include <sstream>
 #include <utility>
 
@@ -16,11 +15,11 @@
 // seconds late, and a runner takes longer to come back.
 constexpr size_t kEarlierLives = 16;
 
-// Losses are told to each owner that attaches for so long: an owner that takes
-// over as a runner goes down must hear what its predecessor would have. Later
-// ones have what was stored.
-constexpr Duration kLossMemory = std::chrono::seconds(30);
-constexpr size_t kMostLosses = 16;
+// Past lives are told to each owner that attaches for so long: an owner that
+// takes over as a runner goes down must hear what its predecessor would have.
+// Later ones have what was stored.
+constexpr Duration kPastLifeMemory = std::chrono::seconds(30);
+constexpr size_t kMostPastLives = 16;
 
 bool SameStatus(const VmStatus& a, const VmStatus& b) {
   return a.life == b.life && a.service == b.service && a.hall == b.hall &&
@@ -61,38 +60,33 @@
   return clock_ + std::chrono::duration_cast<RunnerClock>(safe);
 }
 
-LostRunner Executor::DescribeLoss() const {
-  LostRunner lost{status_.life, recent_starts_.Runs(), {}};
-  std::set_difference(seen_running_.begin(), seen_running_.end(),
-                      lost.just_begun.begin(), lost.just_begun.end(),
-                      std::back_inserter(lost.others));
-  return lost;
-}
-
-void Executor::NoteRunnerLost() {
-  const bool known = !lost_.empty() && lost_.back().second.life == status_.life;
-  if (known || status_.life.empty() || IsLeaving()) return;
-  ++counts_.runners_lost;
+void Executor::KeepPastLife() {
+  const bool known =
+      !past_lives_.empty() && past_lives_.back().second.life == status_.life;
+  if (known || status_.life.empty()) return;
   const TimePoint now = hooks_.now();
-  lost_.emplace_back(now, DescribeLoss());
-  if (lost_.size() > kMostLosses) lost_.pop_front();
+  past_lives_.emplace_back(now,
+                           life_record_.Describe(status_.life, IsLeaving()));
+  if (past_lives_.size() > kMostPastLives) past_lives_.pop_front();
+  const PastLife& past = past_lives_.back().second;
+  if (past.announced) return;
+  ++counts_.runners_lost;
   const auto silent = static_cast<int64_t>(ToMillis(now - last_answer_));
   hooks_.log("runner_lost", "",
-             status_.life + ", last heard " + std::to_string(silent) +
-                 " ms ago; had just begun: " +
-                 RunNames(lost_.back().second.just_begun));
+             past.life + ", last heard " + std::to_string(silent) +
+                 " ms ago; had just begun: " + RunNames(past.just_begun));
 }
 
-void Executor::ForgetOldLosses(TimePoint now) {
-  while (!lost_.empty() && now - lost_.front().first > kLossMemory) {
-    lost_.pop_front();
+void Executor::ForgetPastLives(TimePoint now) {
+  while (!past_lives_.empty() &&
+         now - past_lives_.front().first > kPastLifeMemory) {
+    past_lives_.pop_front();
   }
 }
 
 void Executor::ResetLife() {
   orders_.clear();
-  recent_starts_.Clear();
-  seen_running_.clear();
+  life_record_ = LifeRecord();
   paced_.clear();
   settled_ = 0;
   highest_listed_ = 0;
@@ -123,7 +117,7 @@
   const bool new_life = status.life != status_.life;
   const bool changed = !SameStatus(status, status_);
   if (new_life) {
-    NoteRunnerLost();
+    KeepPastLife();
     std::string labels;
     for (const std::string& label : status.labels) labels += " " + label;
     hooks_.log("runner_registered", "",
@@ -212,6 +206,7 @@
 
 void Executor::ForgetLeftRunner(TimePoint now) {
   if (!leaving_since_ || now - *leaving_since_ < options_.leave_pause) return;
+  KeepPastLife();
   leaving_since_.reset();
   ResetLife();
   status_ = VmStatus();
@@ -226,7 +221,7 @@
   hooks_.log("runner_silent", "",
              status_.life + ": every lease that it was given is over");
   told_empty_ = true;
-  NoteRunnerLost();
+  KeepPastLife();
   SendEmptyInventory();
 }
 
@@ -241,7 +236,7 @@
 void Executor::Tick() {
   const TimePoint now = hooks_.now();
   ForgetLeftRunner(now);
-  ForgetOldLosses(now);
+  ForgetPastLives(now);
   GiveUpSilentRunner(now);
   SendHeartbeat(now);
   RetryStops(now);
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -26,8 +26,8 @@
 #include "beamhill/base/lifetime.h"
 #include "beamhill/base/time.h"
 #include "beamhill/dispatch/dispatch_messages.h"
+#include "beamhill/executor/life_record.h"
 #include "beamhill/executor/pacer.h"
-#include "beamhill/executor/recent_starts.h"
 #include "beamhill/executor/task_runner.h"
 
 namespace beamhill {
@@ -124,11 +124,10 @@
   void NoteEarlierLife(const std::string& life);
   // Whether the runner's last life has said that it leaves.
   bool IsLeaving() const { return leaving_since_ || status_.draining; }
-  // The runner's last life is over, though it had not said that it leaves. Says
-  // so once of each life.
-  void NoteRunnerLost();
-  LostRunner DescribeLoss() const;
-  void ForgetOldLosses(TimePoint now);
+  // The runner's last life is over. Keeps what was seen of it for owners, once
+  // of each life.
+  void KeepPastLife();
+  void ForgetPastLives(TimePoint now);
   // Forgets all that belongs to one life of the runner.
   void ResetLife();
   void NoteClock(const std::optional<RunnerClock>& clock);
@@ -168,7 +167,7 @@
   void ReportEnds(const RunnerView& view);
   void SendInventory(const RunnerView& view);
   void SendEmptyInventory();
-  void AddLosses(VmInventory& inventory) const;
+  void AddPastLives(VmInventory& inventory) const;
   // Whether nothing can run on the VM any more, though its runner does not
   // answer: only this process calls it, and every lease that it or an earlier
   // run of it can have given has run out.
@@ -228,10 +227,9 @@
   TimePoint last_answer_{};  // Of the runner, to any call.
 
   std::map<RunRef, Order> orders_;
-  RecentStarts recent_starts_;
-  std::set<RunRef> seen_running_;  // In the last look.
-  // Lives that were lost of late, the newest last, and when each was.
-  std::deque<std::pair<TimePoint, LostRunner>> lost_;
+  LifeRecord life_record_;
+  // Lives that ended of late, the newest last, and when each did.
+  std::deque<std::pair<TimePoint, PastLife>> past_lives_;
   std::map<RunRef, Paced> paced_;
   Pacer pacer_;
   PacePolicy pace_policy_ = PacePolicy::kCautious;
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -84,15 +84,10 @@
   }
   NoteClock(view.reply.clock);
   last_answer_ = now;
-  recent_starts_.OnHeard(sent_at);
-  seen_running_.clear();
-  for (const RunningRun& running : view.running) {
-    seen_running_.insert(running.run);
-  }
+  life_record_.OnView(view, sent_at);
   for (const RunEnd& end : view.ended) {
     highest_listed_ = std::max(highest_listed_, end.number);
     paced_.erase(end.run);
-    recent_starts_.OnOver(end.run);
   }
   if (inventory_wanted_ && owner_link_) SendInventory(view);
   ReportEnds(view);
@@ -111,7 +106,7 @@
   }
   for (const auto& [run, order] : orders_) inventory.pending.push_back(run);
   inventory.ended = view.ended;
-  AddLosses(inventory);
+  AddPastLives(inventory);
   inventory_wanted_ = false;
   reported_ = highest_listed_;
   SendToOwner(inventory);
@@ -123,12 +118,14 @@
 void Executor::SendEmptyInventory() {
   VmInventory inventory;
   inventory.epoch = epoch_;
-  AddLosses(inventory);
+  AddPastLives(inventory);
   SendToOwner(inventory);
 }
 
-void Executor::AddLosses(VmInventory& inventory) const {
-  for (const auto& [at, lost] : lost_) inventory.lost.push_back(lost);
+void Executor::AddPastLives(VmInventory& inventory) const {
+  for (const auto& [at, past] : past_lives_) {
+    inventory.past_lives.push_back(past);
+  }
 }
 
 bool Executor::AllLeasesOver(TimePoint now) const {
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -58,7 +58,7 @@
     return;
   }
   ++counts_.starts;
-  recent_starts_.OnAsked(run, hooks_.now());
+  life_record_.OnAsked(run, hooks_.now());
   Order& order = orders_[run];
   order.call_open = true;
   order.since = hooks_.now();
@@ -79,7 +79,7 @@
   order.call_open = false;
   if (Spoke(reply.verdict)) {
     last_answer_ = hooks_.now();
-    recent_starts_.OnHeard(order.since);
+    life_record_.OnAnswered(order.since);
   }
   if (order.phase == Phase::kStopping) {
     CallStop(run, order);
@@ -111,7 +111,7 @@
 void Executor::NotBegun(const RunRef& run, NotBegunReason reason) {
   orders_.erase(run);
   paced_.erase(run);
-  recent_starts_.OnOver(run);
+  life_record_.OnNeverBegun(run);
   hooks_.log("run_not_begun", run.task.ToString(),
              "run " + std::to_string(run.run) + ": " +
                  std::string(NotBegunReasonName(reason)));
--- /dev/null
+++ b/beamhill/executor/life_record.h
@@ -0,0 +1,50 @@
+// What an executor has seen of its runner's present life, to be told once that
+// life is over: ends that nobody has settled, and which runs may have taken the
+// runner down.
+//
+// A task that takes its runner down does so as it starts. So of a runner that
+// is lost, only what had just begun when it was last heard is under suspicion.
+//
+//   LifeRecord record;
+//   record.OnAsked(run, now);         // A start is asked of the runner.
+//   record.OnView(view, asked_at);    // The runner has answered a look.
+//   PastLife past = record.Describe("life-1", /*announced=*/false);
+#ifndef BEAMHILL_EXECUTOR_LIFE_RECORD_H_
+#define BEAMHILL_EXECUTOR_LIFE_RECORD_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "beamhill/base/time.h"
+#include "beamhill/dispatch/dispatch_messages.h"
+#include "beamhill/executor/task_runner.h"
+
+namespace beamhill {
+
+class LifeRecord {
+ public:
+  void OnAsked(const RunRef& run, TimePoint now) { asked_[run] = now; }
+  void OnNeverBegun(const RunRef& run) { asked_.erase(run); }
+  // The runner has answered a call that was sent then, so what was asked of it
+  // kCrashWindow before that has not taken it down.
+  void OnAnswered(TimePoint sent_at);
+  // The same, with all that runs there and all ends that are not settled.
+  void OnView(const RunnerView& view, TimePoint sent_at);
+
+  // `announced`: the runner had said that it leaves.
+  PastLife Describe(const std::string& life, bool announced) const;
+
+ private:
+  std::map<RunRef, TimePoint> asked_;  // Within kCrashWindow.
+  std::set<RunRef> running_;           // In the last view.
+  std::vector<RunEnd> ended_;          // In the last view.
+};
+
+// The names of the runs for a log line, the first dozen of them.
+std::string RunNames(const std::vector<RunRef>& runs);
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_EXECUTOR_LIFE_RECORD_H_
