Show suspects and given-up workflows; log an unreadable progress row

The owner's summary line and its state dump say how many tasks are under suspicion of taking runners down, which, and for how many runners. A row of progress that can't be read was passed over without a word, though the workflow's done tasks are unknown then. No decision is changed.

--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -55,6 +55,8 @@
   for (const auto& [id, job] : jobs_) {
     if (!job->progress.over()) ++summary.open_workflows;
   }
+  summary.suspects = suspects_.size();
+  summary.given_up = counts_.given_up;
   return summary;
 }
 
@@ -72,6 +74,12 @@
         << " filling " << vm.filling_cpu << " lease_ms "
         << ToMillis(vm.lease_bound - now) << "\n";
   }
+  for (const TaskRef& task : suspects_) {
+    const auto job = jobs_.find(task.workflow);
+    if (job == jobs_.end()) continue;
+    out << "suspect " << task.ToString() << " runners lost "
+        << job->second->progress.At(task).crashed_runs.size() << "\n";
+  }
   for (const auto& weight : interference_.Weights()) {
     out << "pressure " << weight.filler << " on " << weight.serving << " ms "
         << ToMillis(weight.per_vm) << "\n";
--- a/beamhill/dispatch/dispatch_types.h
+++ b/beamhill/dispatch/dispatch_types.h
@@ -45,6 +45,8 @@
   int64_t filling_cpu_in_use = 0;  // What they used, as last reported.
   size_t open_workflows = 0;
   size_t held_runs = 0;
+  size_t suspects = 0;    // Tasks that may take runners down.
+  uint64_t given_up = 0;  // Workflows with one that did, under this owner.
 };
 
 struct VmMessage {
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -110,7 +110,11 @@
   std::map<std::string, ProgressRecord> records;
   for (const Row& row : loading.found.at(rows::kProgress)) {
     auto record = DecodeRecord<ProgressRecord>(row.value);
-    if (!IsOk(record)) continue;
+    if (!IsOk(record)) {
+      Log(LogLevel::kError, "bad_row",
+          {{"key", row.key}, {"error", ErrorOf(record).message}});
+      continue;
+    }
     records[After(row.key, rows::kProgress)] = ValueOf(record);
   }
   for (const Row& row : loading.found.at(rows::kWorkflows)) {
@@ -164,7 +168,9 @@
        {"cpu_filling", summary.filling_cpu},
        {"cpu_filling_in_use", summary.filling_cpu_in_use},
        {"runs", summary.held_runs},
-       {"open_workflows", summary.open_workflows}});
+       {"open_workflows", summary.open_workflows},
+       {"suspects", summary.suspects},
+       {"given_up", summary.given_up}});
   LogPressureNews();
 }
 
