Tell of a runner anew that was silent, came back and is lost

Cause, by reading the change: a runner that is silent until its leases are over counts as lost then, once for each life. If it was only held up and goes down later, what it had begun by then was kept from owners, and so a loss not counted.

Change: what is kept of a life is replaced by what was seen last; it is told in the log and counted again only when other runs had just begun.

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -61,14 +61,19 @@
 }
 
 void Executor::KeepPastLife() {
-  const bool known =
-      !past_lives_.empty() && past_lives_.back().second.life == status_.life;
-  if (known || status_.life.empty()) return;
+  if (status_.life.empty()) return;
   const TimePoint now = hooks_.now();
-  past_lives_.emplace_back(now,
-                           life_record_.Describe(status_.life, IsLeaving()));
+  PastLife past = life_record_.Describe(status_.life, IsLeaving());
+  if (!past_lives_.empty() && past_lives_.back().second.life == past.life) {
+    // Given up as silent before; it may have answered and begun more since.
+    const bool same = past_lives_.back().second.just_begun == past.just_begun;
+    past_lives_.pop_back();
+    past_lives_.emplace_back(now, past);
+    if (same) return;
+  } else {
+    past_lives_.emplace_back(now, past);
+  }
   if (past_lives_.size() > kMostPastLives) past_lives_.pop_front();
-  const PastLife& past = past_lives_.back().second;
   if (past.announced) return;
   ++counts_.runners_lost;
   const auto silent = static_cast<int64_t>(ToMillis(now - last_answer_));
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -124,8 +124,8 @@
   void NoteEarlierLife(const std::string& life);
   // Whether the runner's last life has said that it leaves.
   bool IsLeaving() const { return leaving_since_ || status_.draining; }
-  // The runner's last life is over. Keeps what was seen of it for owners, once
-  // of each life.
+  // The runner's last life is over, or was silent past its leases. Keeps what
+  // was seen of it for owners.
   void KeepPastLife();
   void ForgetPastLives(TimePoint now);
   // Forgets all that belongs to one life of the runner.
--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -115,5 +115,29 @@
   EXPECT_EQ(executor_->counts().runners_lost, 1);
 }
 
+// It was held up, answers once more, and goes down as the next run begins.
+TEST_F(ExecutorLossesTest, RunnerThatWasOnlySilentIsLostOnceMore) {
+  Register("life-1");
+  Attach(1);
+  AnswerLook();
+  StartAnswered(Run(0), RunnerVerdict::kDone);
+  Pass(seconds(12));
+  executor_->OnMessage(kLink, ::beamhill::Attach{"a", 1});
+  Pass(milliseconds(200));
+  LoseLooks();
+  executor_->OnMessage(kLink, ::beamhill::Attach{"a", 1});
+  AnswerLook();
+  executor_->OnMessage(kLink, RenewLease{1, now_, seconds(5)});
+  StartAnswered(Run(1), RunnerVerdict::kDone);
+  Register("life-2");
+  LoseLooks();
+  sent_.clear();
+  Attach(2);
+  ASSERT_THAT(Sent<VmInventory>(), SizeIs(1));
+  ASSERT_THAT(Sent<VmInventory>()[0].past_lives, SizeIs(1));
+  EXPECT_THAT(Sent<VmInventory>()[0].past_lives[0].just_begun,
+              testing::ElementsAre(Run(1)));
+}
+
 }  // namespace
 }  // namespace beamhill
