Take what is told of past lives in its order

Two faults found on reading the change. An older run that had lasted cleared the crashes of later ones when it was told of again (for 30 s, to each owner); it clears only what was before it. And the ends of a life that had been given up as silent and goes on were taken by their numbers, passing over those that say nothing of a task: a stopped run stayed held. They are taken without numbers now, and learned from and logged only when they change something.

--- a/beamhill/dispatch/dispatch_crashes_test.cc
+++ b/beamhill/dispatch/dispatch_crashes_test.cc
@@ -171,6 +171,25 @@
   EXPECT_EQ(dispatcher_->StateOf("a"), WorkflowState::kFailed);
 }
 
+// The runner was given up as silent and has answered since: what it lists now
+// includes what was kept of it.
+TEST_F(DispatcherCrashesTest, EndsOfALifeThatGoesOnAreTakenOnce) {
+  Add("a", 2);
+  Pass(milliseconds(250), alive_);
+  const auto starts = Take().starts;
+  ASSERT_THAT(starts, SizeIs(2));
+  const std::string vm = starts[0].first;
+  ASSERT_EQ(starts[1].first, vm);
+  const RunEnd stopped{1, starts[0].second, RunEndKind::kStopped, ""};
+  const RunEnd done{2, starts[1].second, RunEndKind::kDone, ""};
+  const PastLife past{StatusOf(vm).life, false, {stopped, done}, {}, {}};
+  dispatcher_->OnInventory(
+      vm, {2, StatusOf(vm), {}, {}, {stopped, done}, {past}}, now_);
+  EXPECT_EQ(dispatcher_->HeldRunsOf("a"), 0U);
+  EXPECT_EQ(dispatcher_->counts().done, 1U);
+  EXPECT_TRUE(NextStart("a"));
+}
+
 TEST_F(DispatcherCrashesTest, SameLossToldTwiceCountsOnce) {
   Add("a");
   ASSERT_TRUE(TakeDown("a", 1));
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -273,7 +273,9 @@
   if (job != nullptr && job->progress.Has(end.run.task)) {
     NoteOutcome(name, *job, end, now);
   }
-  TakeEnd(name, vm, end, now);
+  run_log_.Note("run_ended", end.run, name,
+                std::string(RunEndKindName(end.kind)));
+  TakeEnd(vm, end, now);
 }
 
 // Only ends that say something of the task: a checkpoint of an earlier life may
@@ -284,31 +286,27 @@
     if (end.kind != RunEndKind::kDone && end.kind != RunEndKind::kFailed) {
       continue;
     }
-    if (past.life == vm.status.life) {
-      ApplyEnd(name, vm, end, now);
-    } else {
-      TakeEnd(name, vm, end, now);
-    }
+    if (!TakeEnd(vm, end, now)) continue;
+    run_log_.Note("run_ended", end.run, name,
+                  std::string(RunEndKindName(end.kind)) + " in a past life");
   }
 }
 
-void Dispatcher::TakeEnd(const std::string& name, Vm& vm, const RunEnd& end,
-                         TimePoint now) {
+bool Dispatcher::TakeEnd(Vm& vm, const RunEnd& end, TimePoint now) {
   const RunRef& run = end.run;
   Release(vm, run);
   Job* job = Find(run.task.workflow);
-  if (job == nullptr || !job->progress.Has(run.task)) return;
-  run_log_.Note("run_ended", run, name, std::string(RunEndKindName(end.kind)));
+  if (job == nullptr || !job->progress.Has(run.task)) return false;
   const WorkflowProgress::Task& task = job->progress.At(run.task);
   const bool held_elsewhere =
       task.phase == WorkflowProgress::Phase::kHeld && task.run != run.run;
   const RunRef other{run.task, task.run};
   const std::string other_vm = task.vm;
   const bool was_over = job->progress.over();
-  if (job->progress.OnEnded(run.task, run.run, end.kind, end.checkpoint, now)) {
-    MarkDirty(*job);
-  }
-  if (end.kind == RunEndKind::kDone) LearnRunTime(*job, run.task);
+  const bool changed =
+      job->progress.OnEnded(run.task, run.run, end.kind, end.checkpoint, now);
+  if (changed) MarkDirty(*job);
+  if (changed && end.kind == RunEndKind::kDone) LearnRunTime(*job, run.task);
   if (end.kind == RunEndKind::kDone && held_elsewhere &&
       task.phase == WorkflowProgress::Phase::kDone) {
     Stop(other_vm, vms_[other_vm], other);
@@ -318,6 +316,7 @@
            std::string(WorkflowStateName(job->progress.state())));
     OnOver(*job, now);
   }
+  return changed;
 }
 
 void Dispatcher::ApplyNotBegun(const std::string& name, Vm& vm,
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -222,8 +222,8 @@
   // is not let go yet; they may be told more than once.
   void ApplyPastEnds(const std::string& name, Vm& vm, const PastLife& past,
                      TimePoint now);
-  void TakeEnd(const std::string& name, Vm& vm, const RunEnd& end,
-               TimePoint now);
+  // Returns whether anything that is stored has changed.
+  bool TakeEnd(Vm& vm, const RunEnd& end, TimePoint now);
   void ApplyNotBegun(const std::string& name, Vm& vm,
                      const RunNotBegun& refused, TimePoint now);
 
--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -349,8 +349,12 @@
 bool WorkflowProgress::OnOutlived(const TaskRef& ref, uint64_t run) {
   Task& task = At(ref);
   task.outlived = std::max(task.outlived, run);
-  const bool changed = !task.crashed_runs.empty();
-  task.crashed_runs.clear();
+  std::vector<uint64_t>& crashed = task.crashed_runs;
+  const auto cleared =
+      std::remove_if(crashed.begin(), crashed.end(),
+                     [&](uint64_t earlier) { return earlier <= run; });
+  const bool changed = cleared != crashed.end();
+  crashed.erase(cleared, crashed.end());
   return changed;
 }
 
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -156,8 +156,9 @@
   // workflow once that has happened to the task too often. Returns whether the
   // stored record has changed; the end of the run is told by OnEnded.
   bool OnRunnerCrash(const TaskRef& ref, uint64_t run);
-  // The run has shown that its task doesn't take runners down at its start.
-  // Returns whether the stored record has changed.
+  // The run has shown that its task does not always take runners down at its
+  // start: crashes before it count no more. Returns whether the stored record
+  // has changed.
   bool OnOutlived(const TaskRef& ref, uint64_t run);
   void Cancel();
 
