Keep the runner's last view as it is, without a copy

Change: the view is moved into the record and read only when the life is over. executor_test and crash_replay_test green.

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -162,7 +162,7 @@
   void LookSoon();
   void LookIfDue(TimePoint now);
   std::chrono::milliseconds NextWait() const;
-  void OnView(const RunnerView& view, TimePoint sent_at, uint64_t epoch,
+  void OnView(RunnerView view, TimePoint sent_at, uint64_t epoch,
               const std::string& life);
   void ReportEnds(const RunnerView& view);
   void SendInventory(const RunnerView& view);
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -64,11 +64,11 @@
                                 life = status_.life](RunnerView view) {
                  --looks_open_;
                  if (slow) slow_look_open_ = false;
-                 OnView(view, sent_at, epoch, life);
+                 OnView(std::move(view), sent_at, epoch, life);
                }));
 }
 
-void Executor::OnView(const RunnerView& view, TimePoint sent_at, uint64_t epoch,
+void Executor::OnView(RunnerView view, TimePoint sent_at, uint64_t epoch,
                       const std::string& life) {
   const TimePoint now = hooks_.now();
   if (epoch != epoch_ || life != status_.life) {
@@ -84,7 +84,6 @@
   }
   NoteClock(view.reply.clock);
   last_answer_ = now;
-  life_record_.OnView(view, sent_at);
   for (const RunEnd& end : view.ended) {
     highest_listed_ = std::max(highest_listed_, end.number);
     paced_.erase(end.run);
@@ -93,6 +92,7 @@
   ReportEnds(view);
   ResolveOrders(view, sent_at);
   Pace(view, sent_at, now);
+  life_record_.OnView(std::move(view), sent_at);
   next_look_ = highest_listed_ > settled_ ? now + kUnsettledPause : now;
   if (next_look_ <= now && !slow_look_open_) Look(NextWait());
 }
--- a/beamhill/executor/life_record.cc
+++ b/beamhill/executor/life_record.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
+#include <utility>
 
 namespace beamhill {
 namespace {
@@ -18,22 +19,21 @@
   }
 }
 
-void LifeRecord::OnView(const RunnerView& view, TimePoint sent_at) {
+void LifeRecord::OnView(RunnerView view, TimePoint sent_at) {
   OnAnswered(sent_at);
-  ended_ = view.ended;
-  for (const RunEnd& end : ended_) asked_.erase(end.run);
-  running_.clear();
-  for (const RunningRun& running : view.running) running_.insert(running.run);
+  for (const RunEnd& end : view.ended) asked_.erase(end.run);
+  last_view_ = std::move(view);
 }
 
 PastLife LifeRecord::Describe(const std::string& life, bool announced) const {
   PastLife past;
   past.life = life;
   past.announced = announced;
-  past.ended = ended_;
+  past.ended = last_view_.ended;
   for (const auto& [run, asked_at] : asked_) past.just_begun.push_back(run);
-  std::set_difference(running_.begin(), running_.end(), past.just_begun.begin(),
-                      past.just_begun.end(), std::back_inserter(past.others));
+  for (const RunningRun& running : last_view_.running) {
+    if (asked_.count(running.run) == 0) past.others.push_back(running.run);
+  }
   return past;
 }
 
--- a/beamhill/executor/life_record.h
+++ b/beamhill/executor/life_record.h
@@ -13,7 +13,6 @@
 #define BEAMHILL_EXECUTOR_LIFE_RECORD_H_
 
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -30,16 +29,17 @@
   // The runner has answered a call that was sent then, so what was asked of it
   // kCrashWindow before that has not taken it down.
   void OnAnswered(TimePoint sent_at);
-  // The same, with all that runs there and all ends that are not settled.
-  void OnView(const RunnerView& view, TimePoint sent_at);
+  // The same, with all that runs there and all ends that are not settled. Views
+  // come some times a second and are kept as they are: a copy of each was a
+  // cost that pacing felt.
+  void OnView(RunnerView view, TimePoint sent_at);
 
   // `announced`: the runner had said that it leaves.
   PastLife Describe(const std::string& life, bool announced) const;
 
  private:
   std::map<RunRef, TimePoint> asked_;  // Within kCrashWindow.
-  std::set<RunRef> running_;           // In the last view.
-  std::vector<RunEnd> ended_;          // In the last view.
+  RunnerView last_view_;
 };
 
 // The names of the runs for a log line, the first dozen of them.
