--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -23,6 +23,16 @@
     done({verdict, std::nullopt});
   }
 
+  // Run(0) has been at work for 2.5 s when its runner is last heard.
+  void RunOneForLong() {
+    Register("life-1");
+    Attach(1);
+    StartAnswered(Run(0), RunnerVerdict::kDone);
+    Pass(milliseconds(2500));
+    AnswerLook({{Run(0), 50, 0}});
+    AnswerLook({{Run(0), 50, 0}});
+  }
+
   void LoseLooks() {
     for (auto& [call, done] : std::exchange(looks_, {})) done(RunnerView{});
   }
@@ -42,12 +52,7 @@
 // Of all that was on the runner, only what had just begun can have taken it
 // down as it started.
 TEST_F(ExecutorLossesTest, NamesWhatHadJustBegunOnARunnerThatIsLost) {
-  Register("life-1");
-  Attach(1);
-  StartAnswered(Run(0), RunnerVerdict::kDone);
-  Pass(milliseconds(2500));
-  AnswerLook({{Run(0), 50, 0}});
-  AnswerLook({{Run(0), 50, 0}});
+  RunOneForLong();
   StartAnswered(Run(1), RunnerVerdict::kDone);
   StartAnswered(Run(2), RunnerVerdict::kNoAnswer);  // It may have begun.
   StartAnswered(Run(3), RunnerVerdict::kUnreachable);
@@ -70,12 +75,7 @@
 // An owner that takes over as a runner goes down has not been told by its
 // predecessor what had begun there.
 TEST_F(ExecutorLossesTest, EachOwnerHearsOfRunnersLostOfLate) {
-  Register("life-1");
-  Attach(1);
-  StartAnswered(Run(0), RunnerVerdict::kDone);
-  Pass(milliseconds(2500));
-  AnswerLook({{Run(0), 50, 0}});
-  AnswerLook({{Run(0), 50, 0}});
+  RunOneForLong();
   StartAnswered(Run(1), RunnerVerdict::kDone);
   executor_->OnLinkDown(kLink);
   Pass(seconds(3));
