--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -28,6 +28,10 @@
   }
 }
 
+std::string MillisText(Duration time) {
+  return std::to_string(static_cast<int64_t>(ToMillis(time)));
+}
+
 // Whether the runner itself has spoken.
 bool Spoke(RunnerVerdict verdict) {
   return verdict != RunnerVerdict::kNoAnswer &&
@@ -124,6 +128,11 @@
     if (order.phase == Phase::kStopping || order.phase == Phase::kStopped) {
       continue;
     }
+    if (order.call_open) {
+      hooks_.log("stop_waits", run.task.ToString(),
+                 "for the answer to a start that was taken " +
+                     MillisText(hooks_.now() - order.since) + " ms ago");
+    }
     order.phase = Phase::kStopping;
     order.since = hooks_.now();
     // A start that is still open is answered first.
