Count work as begun once a runner has begun it

Cause: WorkflowProgress took a workflow for running when its first start was ordered, whenever that left and whatever became of it; callers were told of fewer waiting workflows than there were. Ruled out: a count that is old (the owner answered at once) and the store.

Change: a start asks its executor to report the first task of the workflow that begins there, while the owner knows of none that has; that report, an inventory that shows a run, or its end make the workflow running.

--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -73,11 +73,14 @@
   // By the executor's clock: an order that comes later was held up on its way,
   // and the owner may know by now that the VM must not run it.
   TimePoint latest_start = TimePoint::max();
+  // The owner does not know yet that any task of the workflow has begun, and is
+  // to hear of the first that does.
+  bool report_begin = false;
 
   template <typename S>
   static auto Fields(S& s) {
     return std::tie(s.epoch, s.life, s.workflow, s.round, s.step, s.payload,
-                    s.traits, s.runs, s.latest_start);
+                    s.traits, s.runs, s.latest_start, s.report_begin);
   }
 };
 
@@ -212,10 +215,12 @@
   std::string life;
   std::vector<RunEnd> ended;
   std::vector<RunNotBegun> not_begun;
+  // Of workflows whose owner wants to hear it, the first on this VM.
+  std::vector<RunRef> begun;
 
   template <typename S>
   static auto Fields(S& s) {
-    return std::tie(s.epoch, s.life, s.ended, s.not_begun);
+    return std::tie(s.epoch, s.life, s.ended, s.not_begun, s.begun);
   }
 };
 
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -395,6 +395,7 @@
     starts.payload = workflow.payload;
     starts.traits = TraitsOf(job, step);
     starts.latest_start = LatestStart(vm, now);
+    starts.report_begin = !job.progress.begun();
   }
   const Ticket* ticket =
       TicketFor(job, {ref.round, ref.step}, vm.status.life, now);
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -148,6 +148,7 @@
         task.phase == WorkflowProgress::Phase::kWaiting &&
         run.run >= task.run) {
       job->progress.OnStarted(run.task, run.run, name, now);
+      job->progress.OnBegun();
       job->progress.At(run.task).whole = false;  // It began before.
       ++counts_.adopted;
       run_log_.Note("run_adopted", run, name, "");
@@ -214,7 +215,11 @@
   for (const RunEnd& end : inventory.ended) ApplyEnd(vm, state, end, now);
   StopMissing(vm, state, inventory);
   for (const RunRef& run : inventory.running) {
-    if (state.held.count(run) == 0) Adopt(vm, state, run, now);
+    if (state.held.count(run) == 0) {
+      Adopt(vm, state, run, now);
+    } else if (Job* job = Find(run.task.workflow); job != nullptr) {
+      job->progress.OnBegun();  // The report of it may be lost.
+    }
   }
   if (state.status.draining) MoveOffDraining(vm, state);
   SendTraits(vm, state);
@@ -349,6 +354,10 @@
   for (const RunNotBegun& refused : reports.not_begun) {
     ApplyNotBegun(vm, state, refused, now);
   }
+  for (const RunRef& run : reports.begun) {
+    Job* job = Find(run.task.workflow);
+    if (job != nullptr) job->progress.OnBegun();
+  }
 }
 
 }  // namespace beamhill
--- a/beamhill/dispatch/dispatcher_benchmark.cc
+++ b/beamhill/dispatch/dispatcher_benchmark.cc
@@ -137,7 +137,7 @@
     for (const VmMessage& out : owner->TakeMessages()) {
       const auto* starts = std::get_if<StartRuns>(&out.message);
       if (starts == nullptr) continue;
-      RunReports reports{1, starts->life, {}, {}};
+      RunReports reports{1, starts->life, {}, {}, {}};
       for (const StartRun& run : starts->runs) {
         const TaskRef task{starts->workflow, 0, 0, run.index};
         reports.ended.push_back(
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -179,7 +179,8 @@
   EXPECT_THAT(Take().stops, ElementsAre(std::pair("vm-1", run)));
   EXPECT_THAT(Tick().starts, IsEmpty());
   dispatcher_->OnReports(
-      "vm-1", {2, StatusOf("vm-1").life, {}, {{run, NotBegunReason::kStopped}}},
+      "vm-1",
+      {2, StatusOf("vm-1").life, {}, {{run, NotBegunReason::kStopped}}, {}},
       now_);
   now_ += seconds(1);
   dispatcher_->OnHeartbeat("vm-1", {2, now_}, now_);
--- a/beamhill/dispatch/dispatcher_test_base.h
+++ b/beamhill/dispatch/dispatcher_test_base.h
@@ -148,7 +148,7 @@
   void End(const std::string& vm, uint64_t number, const RunRef& run,
            RunEndKind kind) {
     dispatcher_->OnReports(
-        vm, {2, StatusOf(vm).life, {{number, run, kind, ""}}, {}}, now_);
+        vm, {2, StatusOf(vm).life, {{number, run, kind, ""}}, {}, {}}, now_);
   }
 
   bool Store() {
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -111,6 +111,7 @@
     TimePoint since{};  // When the phase began; a later look decides.
     // A stop waits for its turn or its answer.
     bool stop_pending = false;
+    bool report_begin = false;
     TimePoint retry_at{};
   };
   struct PendingStart {
@@ -186,6 +187,8 @@
   bool IsPresent(const Caller& caller) const {
     return caller.epoch == epoch_ && caller.life == status_.life;
   }
+  // The runner has begun the run: tells the owner, if it wants to hear that.
+  void ReportBegin(const RunRef& run);
   // Tells the owner that the run never begins.
   void NotBegun(const RunRef& run, NotBegunReason reason);
   // What a look that was sent after a call shows is what became of the call.
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -136,7 +136,7 @@
 }
 
 void Executor::ReportEnds(const RunnerView& view) {
-  RunReports reports{epoch_, status_.life, {}, {}};
+  RunReports reports{epoch_, status_.life, {}, {}, {}};
   for (const RunEnd& end : view.ended) {
     if (end.number > reported_) reports.ended.push_back(end);
   }
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -56,6 +56,7 @@
   const TimePoint now = hooks_.now();
   Order& order = orders_[run];
   order.since = now;
+  order.report_begin = starts.report_begin;
   if (starts.traits.paced()) paced_[run].traits = starts.traits;
   start_lane_.Push(
       run,
@@ -127,6 +128,7 @@
   Order& order = it->second;
   switch (reply.verdict) {
     case RunnerVerdict::kDone:
+      ReportBegin(run);
       orders_.erase(it);
       PaceNewFiller(run);
       return;
@@ -148,6 +150,15 @@
   }
 }
 
+void Executor::ReportBegin(const RunRef& run) {
+  if (!orders_[run].report_begin) return;
+  // One of a workflow is enough.
+  for (auto& [other, order] : orders_) {
+    if (other.task.workflow == run.task.workflow) order.report_begin = false;
+  }
+  SendToOwner(RunReports{epoch_, status_.life, {}, {}, {run}});
+}
+
 void Executor::NotBegun(const RunRef& run, NotBegunReason reason) {
   orders_.erase(run);
   paced_.erase(run);
@@ -155,7 +166,7 @@
   hooks_.log("run_not_begun", run.task.ToString(),
              "run " + std::to_string(run.run) + ": " +
                  std::string(NotBegunReasonName(reason)));
-  SendToOwner(RunReports{epoch_, status_.life, {}, {{run, reason}}});
+  SendToOwner(RunReports{epoch_, status_.life, {}, {{run, reason}}, {}});
 }
 
 void Executor::OnStopRuns(const StopRuns& stops) {
@@ -235,6 +246,7 @@
     const bool runs = running.count(run) > 0;
     if (seen.phase == Phase::kUncertain) {
       if (runs) {
+        ReportBegin(run);
         orders_.erase(run);
       } else {
         Order& order = orders_[run];
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -65,6 +65,24 @@
             NotBegunReason::kOutdated);
 }
 
+// Callers count what waits: the owner hears of the first task that has begun,
+// not of each.
+TEST_F(ExecutorTest, FirstBeginOfAWorkflowIsReportedWhereItIsWanted) {
+  Register("life-1");
+  Attach(1);
+  StartRuns starts;
+  starts.epoch = 1;
+  starts.life = "life-1";
+  starts.workflow = "w";
+  starts.runs = {{0, 1, "", ""}, {1, 1, "", ""}};
+  starts.report_begin = true;
+  executor_->OnMessage(kLink, starts);
+  Start({{"known", 0, 0, 0}, 1}, 1);
+  AnswerAll(starts_);
+  ASSERT_THAT(Sent<RunReports>(), SizeIs(1));
+  EXPECT_THAT(Sent<RunReports>()[0].begun, testing::ElementsAre(kRun));
+}
+
 struct RefusalCase {
   RunnerVerdict verdict;
   NotBegunReason reason;
--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -265,6 +265,9 @@
   task.vm = vm;
   task.held_since = now;
   task.whole = task.checkpoint.empty();
+}
+
+void WorkflowProgress::OnBegun() {
   begun_ = true;
   if (state_ == WorkflowState::kQueued) state_ = WorkflowState::kRunning;
 }
@@ -313,6 +316,10 @@
     StopHolding(task, run, now);
     return false;
   }
+  // Of a run that is let go it isn't known.
+  const bool had_begun =
+      kind != RunEndKind::kNotBegun && kind != RunEndKind::kLapsed;
+  if (had_begun) OnBegun();
   if (kind == RunEndKind::kDone && !step.long_running) {
     if (run == task.run) Measure(ref, task, now);
     if (step.gang) {
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -6,7 +6,7 @@
 //
 //   WorkflowProgress progress(workflow);
 //   for (TaskRef task : progress.Ready(now_unix)) ...
-//   progress.OnStarted(task, run, vm);
+//   progress.OnStarted(task, run, vm, now);
 //   progress.OnEnded(task, run, RunEndKind::kDone, "");
 #ifndef BEAMHILL_WORKFLOW_WORKFLOW_PROGRESS_H_
 #define BEAMHILL_WORKFLOW_WORKFLOW_PROGRESS_H_
@@ -146,8 +146,13 @@
   const std::vector<Task>& TasksOf(uint32_t round, uint32_t step) const;
   bool StepDone(uint32_t round, uint32_t step) const;
 
+  // A start is ordered; a runner may never begin it.
   void OnStarted(const TaskRef& ref, uint64_t run, const std::string& vm,
                  TimePoint now);
+  // A runner is known to have begun some task. Until then the workflow waits:
+  // with runners that leave orders unanswered, what counted from the order on
+  // told callers of 3 waiting workflows where 9 had waited for 5 s.
+  void OnBegun();
   // The run is over. Returns whether the stored record has changed. An end of
   // a run other than the held one changes nothing but a `kDone`.
   bool OnEnded(const TaskRef& ref, uint64_t run, RunEndKind kind,
--- a/beamhill/workflow/workflow_progress_test.cc
+++ b/beamhill/workflow/workflow_progress_test.cc
@@ -43,6 +43,15 @@
   EXPECT_EQ(progress.OpenSteps(kNow)[0].step, 1);
 }
 
+TEST(WorkflowProgressTest, WaitsUntilARunnerHasBegunATask) {
+  WorkflowProgress progress(TwoSteps(2));
+  RunOnce(progress, Task(0, 0), 1, RunEndKind::kNotBegun);
+  progress.OnStarted(Task(0, 0), 2, "vm-1", kStart);
+  EXPECT_EQ(progress.state(), WorkflowState::kQueued);
+  progress.OnBegun();
+  EXPECT_EQ(progress.state(), WorkflowState::kRunning);
+}
+
 TEST(WorkflowProgressTest, CompletesWithTheLastTask) {
   WorkflowProgress progress(TwoSteps(2));
   for (uint32_t i = 0; i < 3; ++i) {
