Replay a start that is repeated after its cancellation (fails)

The same cause in the own interface, found by reading: an agent asks its worker again for a start whose answer was lost, without looking whether the task is still wanted. Red: one start more than there may be.

--- a/beamhill/agent/agent_core_test.cc
+++ b/beamhill/agent/agent_core_test.cc
@@ -79,6 +79,28 @@
   EXPECT_TRUE(kVm.Holds(core_->granted()));
 }
 
+// The answer to a start was lost and its task was cancelled. The worker's next
+// list did not name the task, and the agent asked for it once more: cancelled
+// work began.
+TEST_F(AgentCoreTest, StartIsNotRepeatedOnceItsTaskIsToStop) {
+  Start(0, 1, kStart);
+  EXPECT_EQ(StartCommands(), 1);
+  const Attempt attempt = Attempt::Make(1, 1);
+  core_->OnStartAnswer({"j", 0}, attempt, WorkerStartAnswer::kUnknown, "",
+                       kStart);
+  core_->OnMessage(
+      "e", StopTasks{fence_, StopMode::kCancel, {{{"j", 0}, attempt}}}, kStart);
+  core_->OnWorkerList({}, kStart + seconds(1));
+  EXPECT_EQ(StartCommands(), 0);
+  Outcomes();
+  // Until then the lost start might still have taken effect.
+  core_->OnWorkerList({}, kStart + seconds(10));
+  core_->Tick(kStart + seconds(10));
+  const auto outcomes = Outcomes();
+  ASSERT_EQ(outcomes.size(), 1U);
+  EXPECT_EQ(outcomes[0].kind, OutcomeKind::kRefused);
+}
+
 // What must not start a task: each row is one late or foreign message.
 TEST_F(AgentCoreTest, DropsStartsThatAreNotCurrent) {
   struct Row {
