Don't repeat a start once its task is to stop

The agent asked its worker again for a start without an answer whenever a list did not name the task, also after the task was cancelled: it began and was stopped again, each second until its lease was over. Now it waits until no call can take effect any more and reports that the task did not start. Before: AgentCoreTest.StartIsNotRepeatedOnceItsTaskIsToStop red, after: green; coordination_test as before.

--- a/beamhill/agent/agent_core.cc
+++ b/beamhill/agent/agent_core.cc
@@ -305,8 +305,10 @@
                       "the worker did not start it in time"});
     return;
   }
-  // The worker takes each attempt once, so asking again is safe.
-  if (!local.call_open && !local.refused) CommandStart(task, local);
+  // The worker takes each attempt once, so asking again is safe; of a task that
+  // is to stop it would begin what nobody wants any more.
+  const bool wanted = !local.refused && !local.stop_wanted;
+  if (!local.call_open && wanted) CommandStart(task, local);
 }
 
 void AgentCore::ReconcileListed(const WorkerTask& listed) {
