--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -152,7 +152,7 @@
 }
 
 void Executor::ReportBegin(const RunRef& run) {
-  if (!orders_[run].report_begin) return;
+  if (!orders_.at(run).report_begin) return;
   // One of a workflow is enough.
   for (auto& [other, order] : orders_) {
     if (other.task.workflow == run.task.workflow) order.report_begin = false;
