Replay suspects that a next owner leaves waiting (fails)

Traced: what waits are tasks that were suspected before or while the ownership changed; nothing of them was started for 38 s, with 3 % of the processors in use by what doesn't serve.

--- a/beamhill/dispatch/dispatch_crashes_test.cc
+++ b/beamhill/dispatch/dispatch_crashes_test.cc
@@ -199,5 +199,25 @@
   EXPECT_NE(dispatcher_->StateOf("a"), WorkflowState::kFailed);
 }
 
+// An owner had gone down with many runners, and its successor knew a hundred
+// suspects from what was stored. How long each had been away counted from the
+// end of a run that the successor itself had seen, so that for these no time
+// passed: they waited for a trial alone, a few of which are free at a time, and
+// some were still waiting after 38 s with most of the room free.
+TEST_F(DispatcherCrashesTest, NextOwnerLeavesNoSuspectWaitingForATrial) {
+  ProgressRecord record;
+  record.opened_by = 1;
+  record.steps.resize(1);
+  record.steps[0].crashes = {{0, {1}}};
+  constexpr size_t kSuspects = 12;  // There is room for each.
+  for (size_t i = 0; i < kSuspects; ++i) {
+    dispatcher_->AddWorkflow(OneStep("s" + std::to_string(i), 1, 1), record,
+                             now_);
+  }
+  EXPECT_TRUE(Store());
+  Pass(seconds(4), kVms);
+  EXPECT_THAT(Take().starts, SizeIs(kSuspects));
+}
+
 }  // namespace
 }  // namespace beamhill
