Let no suspect of an earlier owner wait for a trial without end

Cause: the patience of a task under suspicion counted from the end of a run that its owner had seen; after a change of ownership there is none, so it waited for a trial alone. Now it counts from when the workflow came to this owner. Before: NextOwnerLeavesNoSuspectWaitingForATrial red, after: green. What stays: tasks that were there at two losses or more have no patience.

--- a/beamhill/dispatch/dispatch_crashes.cc
+++ b/beamhill/dispatch/dispatch_crashes.cc
@@ -40,6 +40,13 @@
 constexpr double kFarFromDataCost = 100;
 constexpr double kAvoidedCost = 1000;  // Where it failed or starved last.
 
+// Since when a task under suspicion waits. Its owner need not have seen the run
+// that is suspected: then it waits since the workflow came here.
+TimePoint AwaySince(const dispatch_internal::Job& job,
+                    const WorkflowProgress::Task& task) {
+  return task.away_since.value_or(job.added_at);
+}
+
 }  // namespace
 
 void Dispatcher::NoteLostRunner(const std::string& name, Vm& vm,
@@ -134,8 +141,7 @@
       vms_.begin(), vms_.end(),
       [&](const auto& entry) { return IsOnTrial(entry.second, now); }));
   if (trials > vms_.size() / kTrialVmsDivisor) return;
-  const bool waits =
-      task.away_since && now - *task.away_since < kStablePatience;
+  const bool waits = now - AwaySince(job, task) < kStablePatience;
   const bool only_stable = waits && task.crashed_runs.size() > 1;
   Vm* best = nullptr;
   double least = 0;
@@ -177,8 +183,7 @@
     *name = it->first;
     return &vm;
   }
-  const bool waited =
-      task.away_since && now - *task.away_since > kTrialPatience;
+  const bool waited = now - AwaySince(job, task) > kTrialPatience;
   if (task.crashed_runs.size() > 1 || !waited) return nullptr;
   return Choose(job, step, open, task.avoid_vm, now, name);
 }
