--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -139,5 +139,25 @@
               testing::ElementsAre(Run(1)));
 }
 
+// A runner went down 10 ms after a task began, and was back as another life
+// 3.2 s later. Before that registered, a start for the earlier life reached it
+// and was turned away; the executor took this for a sign of the life that was
+// gone ("runner_lost ... last heard 5 ms ago") and named what it had asked for
+// within the last second. The task that had taken the runner down was not among
+// them, twice, and was started on six runners.
+TEST_F(ExecutorLossesTest, AnswerOfALaterLifeClearsNothing) {
+  Register("life-1");
+  Attach(1);
+  StartAnswered(Run(0), RunnerVerdict::kDone);
+  Pass(seconds(3));
+  sent_.clear();
+  StartAnswered(Run(1), RunnerVerdict::kOtherLife);
+  Pass(milliseconds(600));
+  EXPECT_THAT(Sent<VmHeartbeat>(), IsEmpty());
+  Register("life-2");
+  ASSERT_THAT(logged_["runner_lost"], SizeIs(1));
+  EXPECT_THAT(logged_["runner_lost"][0], HasSubstr("w.0.0.0/1"));
+}
+
 }  // namespace
 }  // namespace beamhill
