Take no answer of a later life for a sign of the one that was lost

Cause: a start that another life turned away (421) counted as an answer of the life it was meant for. That kept its VM's heartbeats going while the runner was down, and cleared what had begun more than a second before the answer: the very task that had taken the runner down. Ruled out by the log: owners that forget (one owner counted throughout), a lost report.

Before: AnswerOfALaterLifeClearsNothing red, after: green.

--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -34,10 +34,13 @@
   return std::to_string(static_cast<int64_t>(ToMillis(time)));
 }
 
-// Whether the runner itself has spoken.
+// Whether the runner has spoken, in the life that was meant. An answer of a
+// later one is no sign of it: with that a task which takes its runners down was
+// counted for three of the six that it took.
 bool Spoke(RunnerVerdict verdict) {
   return verdict != RunnerVerdict::kNoAnswer &&
-         verdict != RunnerVerdict::kUnreachable;
+         verdict != RunnerVerdict::kUnreachable &&
+         verdict != RunnerVerdict::kOtherLife;
 }
 
 }  // namespace
@@ -118,8 +121,8 @@
 
 void Executor::OnStartReply(const RunRef& run, TimePoint sent_at,
                             const RunnerReply& reply) {
-  NoteClock(reply.clock);
   if (Spoke(reply.verdict)) {
+    NoteClock(reply.clock);
     last_answer_ = hooks_.now();
     life_record_.OnAnswered(sent_at);
   }
