--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -374,8 +374,6 @@
   EXPECT_EQ(paces_[1].first.percent, 10);
 }
 
-// A registration that a cut has held up arrives when its sender has crashed and
-// a new life has registered: it must not bring the dead one back.
 // An order that was carried out late undoes a newer one: the next looks show
 // it.
 TEST_F(ExecutorTest, FillerThatWorksThoughItRestsIsOrderedAgain) {
@@ -409,6 +407,8 @@
   EXPECT_EQ(paces_[0].first.percent, 100);
 }
 
+// A registration that a cut has held up arrives when its sender has crashed and
+// a new life has registered: it must not bring the dead one back.
 TEST_F(ExecutorTest, LateRegistrationOfAnEarlierLifeChangesNothing) {
   Register("life-1");
   Register("life-2");
