Keep the link to an executor that lives and has nothing to say

Cause: an executor whose runner has not registered sends no heartbeat, and an owner closed links that were silent for 2.5 s. At each start 540 of 800 links were closed and dialed again, the first ones exactly 2.5 s after they opened: runners register over some 6 s. Proved by a test with a listener that says nothing, which was closed before.

A VM that says nothing on a link that is up is attached again, as it was by the new link.

Ruled out: heartbeats without a runner, since an owner takes them for a sign that the runner may have a lease.

--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -166,6 +166,14 @@
   vms_[vm].leased = false;
 }
 
+void Dispatcher::OnVmSilent(const std::string& vm) {
+  Vm& state = vms_[vm];
+  if (!state.linked || !state.answered) return;
+  state.answered = false;
+  state.leased = false;
+  Send(vm, Attach{"", options_.epoch});
+}
+
 void Dispatcher::AttachAgain() {
   for (const auto& [name, vm] : vms_) {
     if (vm.linked && !vm.answered) Send(name, Attach{"", options_.epoch});
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -79,6 +79,8 @@
   // A link to the VM's executor is up: attach.
   void OnLinkUp(const std::string& vm);
   void OnLinkDown(const std::string& vm);
+  // Its link is up but says nothing: its work is to be told anew.
+  void OnVmSilent(const std::string& vm);
   // Asks VMs that are linked and have not answered once more; to be called some
   // seconds apart.
   void AttachAgain();
--- a/beamhill/link/link.cc
+++ b/beamhill/link/link.cc
@@ -108,6 +108,7 @@
   void Detach(Connection& connection) {
     connection.set_message_handler(nullptr);
     connection.set_open_handler(nullptr);
+    connection.set_pong_handler(nullptr);
     connection.set_write_handler(
         [](websocketpp::connection_hdl, char const*, size_t) {
           return websocketpp::lib::error_code();
@@ -132,6 +133,10 @@
         [this](websocketpp::connection_hdl, MessagePtr message) {
           if (!closed) hooks.on_message(*self, message->get_payload());
         });
+    connection.set_pong_handler(
+        [this](websocketpp::connection_hdl, const std::string&) {
+          if (!closed && hooks.on_pong) hooks.on_pong(*self);
+        });
     connection.set_close_handler(
         [this](websocketpp::connection_hdl) { CloseSoon(); });
     connection.set_fail_handler(
@@ -218,6 +223,14 @@
   if (impl_->client) impl_->client->send(frame.data(), frame.size(), kBinary);
 }
 
+void Link::Ping() {
+  if (!impl_->open) return;
+  // A link that can't take it is about to close.
+  websocketpp::lib::error_code ignored;
+  if (impl_->server) impl_->server->ping("", ignored);
+  if (impl_->client) impl_->client->ping("", ignored);
+}
+
 void Link::Close() { impl_->CloseSoon(); }
 
 bool Link::is_open() const { return impl_->open; }
--- a/beamhill/link/link.h
+++ b/beamhill/link/link.h
@@ -28,6 +28,8 @@
   // Called once, whether or not the link ever opened. The link must not be
   // destroyed inside a hook; see Link::Close.
   std::function<void(Link&)> on_close;
+  // The peer has answered a ping. May be left out.
+  std::function<void(Link&)> on_pong;
 };
 
 class Link {
@@ -44,6 +46,9 @@
 
   // Queues one binary frame. Dropped when the link is not open.
   void Send(std::string_view frame);
+  // Asks the peer's process for a sign of life, which it gives whatever else it
+  // has to say. Dropped when the link is not open.
+  void Ping();
   // Closes the socket and calls on_close from the loop.
   void Close();
 
--- a/beamhill/scheduler/dialed_peer.cc
+++ b/beamhill/scheduler/dialed_peer.cc
@@ -33,8 +33,10 @@
     opened_ = true;
     pause_ = Duration(0);
     heard_at_ = BootClock::now();
+    message_at_ = heard_at_;
     hooks_.on_open();
   };
+  hooks.on_pong = [this](Link&) { heard_at_ = BootClock::now(); };
   hooks.on_message = [this](Link&, std::string_view frame) { OnFrame(frame); };
   hooks.on_close = [this](Link&) { OnClose(); };
   link_ = Link::Dial(loop_, address_, std::move(hooks));
@@ -42,6 +44,7 @@
 
 void DialedPeer::OnFrame(std::string_view frame) {
   heard_at_ = BootClock::now();
+  message_at_ = heard_at_;
   const Result<DispatchMessage> message = DecodeDispatch(frame);
   if (!IsOk(message)) {
     Log(LogLevel::kWarning, "bad_message",
@@ -71,7 +74,15 @@
   const TimePoint now = BootClock::now();
   const bool stuck = !opened_ && now - dialed_at_ > kOpenTimeout;
   const bool silent = opened_ && now - heard_at_ > limit;
-  if (stuck || silent) link_->Close();
+  if (stuck || silent) {
+    link_->Close();
+    return;
+  }
+  // Twice at least before the link is given up.
+  const bool quiet = opened_ && now - heard_at_ > limit / 2;
+  if (!quiet || now - pinged_at_ < limit / 4) return;
+  pinged_at_ = now;
+  link_->Ping();
 }
 
 }  // namespace beamhill
--- a/beamhill/scheduler/dialed_peer.h
+++ b/beamhill/scheduler/dialed_peer.h
@@ -33,9 +33,13 @@
 
   // Does nothing while the link is down.
   void Send(const DispatchMessage& message);
-  // Breaks the link if nothing came for so long; it is dialed anew.
+  // Breaks the link if nothing came for so long, not even the answer to a ping;
+  // it is dialed anew. A peer may have nothing to say and still be there: an
+  // executor whose runner has not registered yet.
   void CloseIfSilent(Duration limit);
   bool is_open() const;
+  // How long ago the last message came, or the link opened.
+  Duration SinceMessage() const { return BootClock::now() - message_at_; }
 
  private:
   void Dial();
@@ -49,7 +53,9 @@
   bool opened_ = false;
   Duration pause_{};
   TimePoint dialed_at_{};
-  TimePoint heard_at_{};
+  TimePoint heard_at_{};  // Anything at all, on this link.
+  TimePoint message_at_{};
+  TimePoint pinged_at_{};
   Timer redial_;
 };
 
--- /dev/null
+++ b/beamhill/scheduler/dialed_peer_test.cc
@@ -0,0 +1,72 @@
+// A dialed link to peers that say nothing, over loopback.
+#include "beamhill/scheduler/dialed_peer.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+#include "beamhill/event/event_loop.h"
+#include "beamhill/link/link.h"
+
+namespace beamhill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kLimit = seconds(1);
+
+class DialedPeerTest : public testing::Test {
+ protected:
+  std::unique_ptr<DialedPeer> Dial(const Address& address) {
+    DialedPeerHooks hooks;
+    hooks.on_open = [this] { ++opened_; };
+    hooks.on_message = [](const DispatchMessage&) {};
+    hooks.on_down = [this](bool was_open) { lost_ += was_open ? 1 : 0; };
+    return std::make_unique<DialedPeer>(*loop_, address, std::move(hooks));
+  }
+
+  void RunFor(Duration time, DialedPeer& peer) {
+    const Timer check =
+        loop_->Every(milliseconds(50), [&] { peer.CloseIfSilent(kLimit); });
+    const Timer end = loop_->After(time, [this] { loop_->Stop(); });
+    loop_->Run();
+  }
+
+  std::unique_ptr<EventLoop> loop_ = std::move(ValueOf(EventLoop::Create()));
+  int opened_ = 0;
+  int lost_ = 0;
+};
+
+// Of 800 executors that started at once, 540 were dialed a second time, since
+// their runners had not registered yet and they had nothing to say.
+TEST_F(DialedPeerTest, LinkToAPeerThatHasNothingToSayStaysUp) {
+  const auto listener = LinkListener::Listen(*loop_, {"127.0.0.1", 0},
+                                             [](Link&) { return LinkHooks(); });
+  const auto peer = Dial({"127.0.0.1", ValueOf(listener)->port()});
+  RunFor(seconds(3), *peer);
+  EXPECT_EQ(opened_, 1);
+  EXPECT_EQ(lost_, 0);
+  EXPECT_GE(peer->SinceMessage(), seconds(2));
+}
+
+// It takes connections, as the kernel does for a process that is paused.
+TEST_F(DialedPeerTest, PeerThatDoesNotEvenAnswerPingsIsDialedAgain) {
+  auto frozen_loop = std::move(ValueOf(EventLoop::Create()));
+  const auto listener = LinkListener::Listen(*frozen_loop, {"127.0.0.1", 0},
+                                             [](Link&) { return LinkHooks(); });
+  const auto peer = Dial({"127.0.0.1", ValueOf(listener)->port()});
+  Timer run_a_while;
+  const Timer frozen = loop_->Every(milliseconds(20), [&] {
+    if (opened_ > 0) return;
+    run_a_while =
+        frozen_loop->After(milliseconds(1), [&] { frozen_loop->Stop(); });
+    frozen_loop->Run();
+  });
+  RunFor(seconds(4), *peer);
+  EXPECT_EQ(opened_, 1);
+  EXPECT_EQ(lost_, 1);
+}
+
+}  // namespace
+}  // namespace beamhill
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -14,7 +14,8 @@
 constexpr Duration kTickDelay = std::chrono::milliseconds(2);
 constexpr Duration kSummaryInterval = std::chrono::seconds(1);
 constexpr Duration kReloadPause = std::chrono::milliseconds(200);
-// A VM that has not been heard for so long is dialed anew.
+// A VM whose executor has said nothing for so long is asked what it holds, and
+// is dialed anew if it does not even answer pings.
 constexpr Duration kVmSilence = std::chrono::milliseconds(2500);
 // What was learned rides on a transaction this often; some kilobytes.
 constexpr Duration kStorePressureInterval = std::chrono::seconds(2);
@@ -417,7 +418,10 @@
   MaybeCommit();
   AskAdvisor();
   Flush();
-  for (auto& [name, vm] : vms_) vm.peer->CloseIfSilent(kVmSilence);
+  for (auto& [name, vm] : vms_) {
+    vm.peer->CloseIfSilent(kVmSilence);
+    if (vm.peer->SinceMessage() > kVmSilence) dispatcher_->OnVmSilent(name);
+  }
 }
 
 void WorkOwner::AskAdvisor() {
