Tell each scheduler of a few others at a time

Cause: an owner answered each heartbeat of each scheduler with the addresses of all of them: at 184 schedulers some 4 KB to each 3.3 times a second, which grows with their square.

Change: eight at a time, in turn, by a cursor for each peer; of 184 each is told within 7 s. The set is needed to announce a new owner and to ask peers when neither the store nor an owner is heard.

--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -234,7 +234,7 @@
   Duration store_silence{};        // Since the store last answered the sender.
   double strength = 1;             // Of its VM, see HostStrength.
   uint64_t settings_version = 0;   // Of the newest service settings it knows.
-  std::vector<std::string> peers;  // Owner: addresses of those that follow it.
+  std::vector<std::string> peers;  // Owner: addresses of some that follow it.
   Evacuations evacuations;         // The newest that the sender knows.
 
   template <typename S>
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -216,8 +216,7 @@
   if (now - probed_at_ < kProbeAfter) return;
   if (hooks_.store_silence() < kProbeAfter) return;
   probed_at_ = now;
-  table_.read({rows::kOwner},
-              [](const Result<std::vector<Row>>&) {});
+  table_.read({rows::kOwner}, [](const Result<std::vector<Row>>&) {});
 }
 
 bool Scheduler::StoreIsSilent() const {
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -103,6 +103,8 @@
     Link* link = nullptr;
     SchedulerHeartbeat last;
     TimePoint heard_at{};
+    // The last of its peers that this owner has told it of.
+    Link* told_last = nullptr;
   };
   struct Notice {
     DispatchMessage message;
@@ -133,6 +135,8 @@
 
   // In scheduler_peers.cc.
   SchedulerHeartbeat Heartbeat() const;
+  // The answer to that peer's; an owner tells it of some others.
+  SchedulerHeartbeat HeartbeatTo(Peer& peer);
   // Of the schedulers that this process knows of, without itself.
   std::vector<Address> KnownAddresses() const;
   // Sends the service settings to a peer whose version is older.
--- a/beamhill/scheduler/scheduler_peers.cc
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -6,6 +6,7 @@
 
 #include "beamhill/config/config.h"
 #include "beamhill/log/log.h"
+#include "beamhill/scheduler/in_turn.h"
 #include "beamhill/scheduler/scheduler.h"
 
 namespace beamhill {
@@ -23,6 +24,9 @@
 // other schedulers are asked, so many at a time.
 constexpr Duration kAloneAfter = std::chrono::milliseconds(900);
 constexpr size_t kQueriedPeers = 3;
+// Addresses of others in an owner's heartbeat: of 184 schedulers each is told
+// within 7 s.
+constexpr size_t kPeersOfHeartbeat = 8;
 
 }  // namespace
 
@@ -41,10 +45,16 @@
   beat.strength = settings_.strength;
   beat.settings_version = hooks_.settings_version();
   beat.evacuations = hooks_.evacuations();
-  if (keeper_->owns()) {
-    for (const auto& [link, peer] : peers_) {
-      if (!peer.last.address.empty()) beat.peers.push_back(peer.last.address);
-    }
+  return beat;
+}
+
+// Of all peers to all peers would be bytes that grow with their square.
+SchedulerHeartbeat Scheduler::HeartbeatTo(Peer& peer) {
+  SchedulerHeartbeat beat = Heartbeat();
+  if (!keeper_->owns()) return beat;
+  for (Link* link : NextInTurn(peers_, peer.told_last, kPeersOfHeartbeat)) {
+    const std::string& address = peers_.at(link).last.address;
+    if (!address.empty()) beat.peers.push_back(address);
   }
   return beat;
 }
@@ -116,7 +126,7 @@
     peer.last = *beat;
     peer.heard_at = BootClock::now();
     hooks_.on_evacuations_copy(beat->evacuations);
-    send(Heartbeat());
+    send(HeartbeatTo(peer));
     ShareSettings(beat->settings_version, send);
     if (beat->known_epoch < keeper_->record().epoch) {
       send(OwnerAnnounced{keeper_->record()});
