--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -23,6 +23,21 @@
   EXPECT_THAT(dispatcher_->TakeMessages(), SizeIs(0));
 }
 
+// A runner that hangs silences its executor, whose link stays up.
+TEST_F(DispatcherTest, VmThatFallsSilentIsAskedWhatItHoldsBeforeItGetsMore) {
+  Take({});
+  Link("vm-1");
+  dispatcher_->TakeMessages();
+  dispatcher_->OnVmSilent("vm-1");
+  dispatcher_->OnVmSilent("vm-1");
+  EXPECT_THAT(dispatcher_->TakeMessages(), SizeIs(1));  // One Attach.
+  dispatcher_->AddWorkflow(OneStep("a", 1, 2), std::nullopt, now_);
+  dispatcher_->OnHeartbeat("vm-1", {2, now_}, now_);
+  EXPECT_THAT(Tick().starts, IsEmpty());
+  Answer("vm-1");
+  EXPECT_THAT(Tick().starts, SizeIs(1));
+}
+
 TEST_F(DispatcherTest, StartsWithinRoomAndNotBeyond) {
   Take({});
   Link("vm-1");
--- /dev/null
+++ b/beamhill/executor/vm_registration_test.cc
@@ -0,0 +1,162 @@
+#include "beamhill/executor/vm_registration.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "beamhill/table/row_names.h"
+#include "beamhill/testing/faulty_table.h"
+
+namespace beamhill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kKey[] = "executors/vm-1";
+constexpr char kEarlierKey[] = "vms/vm-1";
+
+class VmRegistrationTest : public testing::Test {
+ protected:
+  std::unique_ptr<VmRegistration> Make(const std::string& address) {
+    return Make(address, table_.AsTable());
+  }
+
+  std::unique_ptr<VmRegistration> Make(const std::string& address,
+                                       Table table) {
+    VmRegistrationHooks hooks;
+    hooks.now = [this] { return now_; };
+    hooks.random = [] { return 0.5; };
+    hooks.since_lease = [this] { return since_lease_; };
+    hooks.log = [](const std::string&, const std::string&) {};
+    return std::make_unique<VmRegistration>(VmRecord{"vm-1", address},
+                                            std::move(table), std::move(hooks));
+  }
+
+  void Pass(Duration time, VmRegistration& registration) {
+    const TimePoint end = now_ + time;
+    for (; now_ < end; now_ += milliseconds(100)) {
+      registration.Tick();
+      table_.Deliver();
+    }
+  }
+
+  std::string AddressIn(const std::string& key) {
+    const auto& rows = table_.model().rows();
+    const auto it = rows.find(key);
+    if (it == rows.end()) return "";
+    return ValueOf(DecodeRecord<VmRecord>(it->second.value)).address;
+  }
+
+  uint64_t writes() { return table_.model().counts().row_writes; }
+
+  FaultyTable table_;
+  TimePoint now_{std::chrono::hours(1)};
+  Duration since_lease_{};
+};
+
+TEST_F(VmRegistrationTest, RowIsWrittenOnceAndNotByTheNextProcess) {
+  const auto first = Make("10.0.0.1:1");
+  Pass(seconds(1), *first);
+  EXPECT_TRUE(first->stored());
+  EXPECT_EQ(AddressIn(kKey), "10.0.0.1:1");
+  EXPECT_EQ(writes(), 1);
+  const auto next = Make("10.0.0.1:1");
+  Pass(seconds(1), *next);
+  EXPECT_TRUE(next->stored());
+  EXPECT_EQ(writes(), 1);
+}
+
+TEST_F(VmRegistrationTest, AnotherAddressIsStored) {
+  const auto first = Make("10.0.0.1:1");
+  Pass(seconds(1), *first);
+  const auto moved = Make("10.0.0.2:1");
+  Pass(seconds(1), *moved);
+  EXPECT_EQ(AddressIn(kKey), "10.0.0.2:1");
+}
+
+// An earlier process wrote its address without an answer, was replaced at
+// another one, and the table carries the write out only now.
+TEST_F(VmRegistrationTest, LateWriteDoesNotBringAnEarlierAddressBack) {
+  Table late = table_.AsTable();
+  Transaction held;
+  late.commit = [&held](Transaction transaction, const CommitDone&) {
+    held = std::move(transaction);
+  };
+  const auto first = Make("10.0.0.1:1", late);
+  Pass(milliseconds(100), *first);
+  const auto next = Make("10.0.0.2:1");
+  Pass(seconds(1), *next);
+  EXPECT_EQ(table_.model().Commit(held).result, CommitResult::kConflict);
+  EXPECT_EQ(AddressIn(kKey), "10.0.0.2:1");
+}
+
+// At once and again at the same pace, hundreds of VMs keep a table busy with
+// refusals.
+TEST_F(VmRegistrationTest, RefusalsAreRepeatedAfterPausesThatGrow) {
+  Table refusing = table_.AsTable();
+  int reads = 0;
+  const auto read = refusing.read;
+  refusing.read = [&reads, read](std::vector<std::string> keys,
+                                 ReadAnswer done) {
+    ++reads;
+    read(std::move(keys), std::move(done));
+  };
+  table_.set_fault(TableFault::kDown);
+  const auto registration = Make("10.0.0.1:1", refusing);
+  Pass(seconds(30), *registration);
+  EXPECT_LE(reads, 12);
+  table_.set_fault(TableFault::kNone);
+  Pass(seconds(7), *registration);
+  EXPECT_TRUE(registration->stored());
+}
+
+// A removal of an earlier process takes effect late; no owner finds the VM.
+TEST_F(VmRegistrationTest, RowThatGoesMissingIsStoredAgainWhileNoOwnerComes) {
+  const auto registration = Make("10.0.0.1:1");
+  Pass(seconds(1), *registration);
+  table_.model().Commit({{}, {{kKey, kAnyVersion, std::nullopt}}});
+  since_lease_ = seconds(5);
+  Pass(seconds(11), *registration);
+  EXPECT_EQ(AddressIn(kKey), "10.0.0.1:1");
+}
+
+TEST_F(VmRegistrationTest, OwnedVmAsksTheTableNothing) {
+  const auto registration = Make("10.0.0.1:1");
+  Pass(seconds(1), *registration);
+  const uint64_t reads = table_.model().counts().reads;
+  Pass(seconds(60), *registration);
+  EXPECT_EQ(table_.model().counts().reads, reads);
+}
+
+TEST_F(VmRegistrationTest, VmThatGoesForGoodLeavesNoRowOfAnyVersion) {
+  table_.model().Commit(
+      {{}, {{kEarlierKey, 0, EncodeRecord(VmRecord{"vm-1", "10.0.0.1:1"})}}});
+  const auto registration = Make("10.0.0.1:1");
+  Pass(seconds(1), *registration);
+  EXPECT_EQ(AddressIn(kEarlierKey), "10.0.0.1:1");  // For earlier owners.
+  bool done = false;
+  registration->Withdraw([&] { done = true; });
+  table_.Deliver();
+  EXPECT_TRUE(done);
+  EXPECT_TRUE(table_.model().rows().empty());
+  Pass(seconds(20), *registration);
+  EXPECT_TRUE(table_.model().rows().empty());
+}
+
+TEST_F(VmRegistrationTest, WithdrawalEndsThoughTheTableIsDown) {
+  const auto registration = Make("10.0.0.1:1");
+  Pass(seconds(1), *registration);
+  table_.set_fault(TableFault::kDown);
+  bool done = false;
+  registration->Withdraw([&] { done = true; });
+  table_.Deliver();
+  EXPECT_TRUE(done);
+}
+
+}  // namespace
+}  // namespace beamhill
