--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -14,9 +14,6 @@
 constexpr Duration kTickDelay = std::chrono::milliseconds(2);
 constexpr Duration kSummaryInterval = std::chrono::seconds(1);
 constexpr Duration kReloadPause = std::chrono::milliseconds(200);
-// A VM whose executor has said nothing for so long is asked what it holds, and
-// is dialed anew if it does not even answer pings.
-constexpr Duration kVmSilence = std::chrono::milliseconds(2500);
 // What was learned rides on a transaction this often; some kilobytes.
 constexpr Duration kStorePressureInterval = std::chrono::seconds(2);
 constexpr Duration kCommitRetry = std::chrono::milliseconds(150);
@@ -24,7 +21,6 @@
 constexpr size_t kPairsOfLine = 60;
 // Executors of earlier versions come only while an upgrade is under way.
 constexpr Duration kEarlierVmScanInterval = std::chrono::seconds(15);
-constexpr Duration kReattachPause = std::chrono::milliseconds(300);
 
 UnixMillis UnixNow() {
   return std::chrono::duration_cast<UnixMillis>(
@@ -206,25 +202,6 @@
       {{"epoch", options_.epoch}, {"pressure_ms", pairs}});
 }
 
-void WorkOwner::ScanVms() {
-  dispatcher_->AttachAgain();
-  Flush();
-  if (scanning_vms_) return;
-  scanning_vms_ = true;
-  table_.scan(rows::kExecutors,
-              lifetime_.Guard([this](Result<std::vector<Row>> rows) {
-                scanning_vms_ = false;
-                if (IsOk(rows)) OnVmRows(ValueOf(rows));
-              }));
-}
-
-void WorkOwner::ScanEarlierVms() {
-  table_.scan(rows::kEarlierExecutors,
-              lifetime_.Guard([this](Result<std::vector<Row>> rows) {
-                if (IsOk(rows)) OnEarlierVmRows(ValueOf(rows));
-              }));
-}
-
 void WorkOwner::ScanNotices() {
   if (scanning_notices_) return;
   scanning_notices_ = true;
@@ -235,36 +212,6 @@
               }));
 }
 
-void WorkOwner::OnVmRows(const std::vector<Row>& rows) {
-  for (const Row& row : rows) {
-    const auto record = DecodeRecord<VmRecord>(row.value);
-    if (!IsOk(record)) continue;
-    const std::string& name = ValueOf(record).vm;
-    ConnectUnlessKnown(ValueOf(record));
-    const auto it = vms_.find(name);  // None for an address that is none.
-    if (it != vms_.end()) it->second.registered = true;
-  }
-}
-
-// Of an executor that has been upgraded both rows are there, and only the other
-// one still follows its address.
-void WorkOwner::OnEarlierVmRows(const std::vector<Row>& rows) {
-  for (const Row& row : rows) {
-    const auto record = DecodeRecord<VmRecord>(row.value);
-    if (!IsOk(record)) continue;
-    const auto it = vms_.find(ValueOf(record).vm);
-    if (it != vms_.end() && it->second.registered) continue;
-    ConnectUnlessKnown(ValueOf(record));
-  }
-}
-
-void WorkOwner::ConnectUnlessKnown(const VmRecord& record) {
-  const auto it = vms_.find(record.vm);
-  const bool known =
-      it != vms_.end() && it->second.record.address == record.address;
-  if (!known) Connect(record);
-}
-
 void WorkOwner::OnArrivalRows(const std::vector<Row>& rows) {
   const std::string new_prefix = rows::NewMarker("");
   const std::string cancel_prefix = rows::CancelMarker("");
@@ -301,68 +248,6 @@
   TickSoon();
 }
 
-void WorkOwner::Connect(const VmRecord& record) {
-  const Result<Address> address = ParseAddress(record.address);
-  if (!IsOk(address)) {
-    Log(LogLevel::kWarning, "bad_row",
-        {{"vm", record.vm}, {"error", ErrorOf(address).message}});
-    return;
-  }
-  VmPeer& vm = vms_[record.vm];
-  if (vm.peer) dispatcher_->OnLinkDown(record.vm);
-  vm.record = record;
-  const std::string name = record.vm;
-  DialedPeerHooks hooks;
-  hooks.on_open = [this, name] {
-    Log(LogLevel::kInfo, "vm_linked", {{"vm", name}});
-    dispatcher_->OnLinkUp(name);
-    Flush();
-  };
-  hooks.on_message = [this, name](const DispatchMessage& message) {
-    OnVmMessage(name, message);
-  };
-  hooks.on_down = [this, name](bool was_open) {
-    if (was_open) {
-      Log(LogLevel::kWarning, "vm_unlinked", {{"vm", name}});
-    }
-    dispatcher_->OnLinkDown(name);
-  };
-  vm.peer =
-      std::make_unique<DialedPeer>(loop_, ValueOf(address), std::move(hooks));
-}
-
-void WorkOwner::OnVmMessage(const std::string& vm,
-                            const DispatchMessage& message) {
-  const TimePoint now = BootClock::now();
-  dispatcher_->set_may_act(keeper_.MayAct() && !quiet_);
-  if (const auto* beat = std::get_if<VmHeartbeat>(&message)) {
-    dispatcher_->OnHeartbeat(vm, *beat, now);
-    Flush();
-    return;
-  }
-  if (const auto* status = std::get_if<VmStatus>(&message)) {
-    dispatcher_->OnStatus(vm, *status, now);
-  } else if (const auto* reports = std::get_if<RunReports>(&message)) {
-    dispatcher_->OnReports(vm, *reports, now);
-  } else if (const auto* pressure = std::get_if<VmPressure>(&message)) {
-    dispatcher_->OnPressure(vm, *pressure);
-    return;
-  } else if (const auto* inventory = std::get_if<VmInventory>(&message)) {
-    if (!dispatcher_->OnInventory(vm, *inventory, now)) {
-      Log(LogLevel::kInfo, "inventory_with_unknown_work", {{"vm", vm}});
-      ScanNotices();
-      vms_.at(vm).reattach = loop_.After(kReattachPause, [this, vm] {
-        // A link that has closed meanwhile attaches when it opens again.
-        if (!vms_.at(vm).peer->is_open()) return;
-        dispatcher_->OnLinkUp(vm);
-        Flush();
-      });
-      return;
-    }
-  }
-  TickSoon();
-}
-
 void WorkOwner::OnWorkflowStored(const Workflow& workflow) {
   // While loading, the load finds it.
   if (!dispatcher_ || dispatcher_->Knows(workflow.id)) return;
@@ -418,10 +303,7 @@
   MaybeCommit();
   AskAdvisor();
   Flush();
-  for (auto& [name, vm] : vms_) {
-    vm.peer->CloseIfSilent(kVmSilence);
-    if (vm.peer->SinceMessage() > kVmSilence) dispatcher_->OnVmSilent(name);
-  }
+  CheckLinks();
 }
 
 void WorkOwner::AskAdvisor() {
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -89,24 +89,28 @@
   };
   struct Loading;
 
+  // In work_owner_vms.cc.
+  void ScanVms();
+  void ScanEarlierVms();
+  void OnVmRows(const std::vector<Row>& rows);
+  void OnEarlierVmRows(const std::vector<Row>& rows);
+  void ConnectUnlessKnown(const VmRecord& record);
+  void Connect(const VmRecord& record);
+  void OnVmMessage(const std::string& vm, const DispatchMessage& message);
+  // Breaks links without a sign of life, and logs which came and went.
+  void CheckLinks();
+
   void Load();
   void LoadNext(std::shared_ptr<Loading> loading);
   // From here on it is loaded().
   void CreateDispatcher(const Loading& loading, TimePoint now);
   void AddLoadedWorkflows(const Loading& loading, TimePoint now);
   void OnLoaded(const Loading& loading);
-  void ScanVms();
-  void ScanEarlierVms();
   void ScanNotices();
-  void OnVmRows(const std::vector<Row>& rows);
-  void OnEarlierVmRows(const std::vector<Row>& rows);
-  void ConnectUnlessKnown(const VmRecord& record);
   void OnArrivalRows(const std::vector<Row>& rows);
   void LoadWorkflow(const std::string& id);
   void Add(const Workflow& workflow,
            const std::optional<ProgressRecord>& record);
-  void Connect(const VmRecord& record);
-  void OnVmMessage(const std::string& vm, const DispatchMessage& message);
   void TickSoon();
   void Tick();
   void Flush();
@@ -127,6 +131,9 @@
   JobDesk desk_;
   std::unique_ptr<Dispatcher> dispatcher_;
   std::map<std::string, VmPeer> vms_;
+  // Since the last log lines about them.
+  std::vector<std::string> linked_;
+  std::vector<std::string> unlinked_;
   std::set<std::string> loading_workflows_;
   std::set<std::string> early_cancels_;  // Of workflows not added yet.
   std::set<std::string> stale_markers_;  // To remove with the next commit.
--- /dev/null
+++ b/beamhill/scheduler/work_owner_vms.cc
@@ -0,0 +1,155 @@
+// The part of WorkOwner that finds the VMs' executors and talks with them.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "beamhill/config/config.h"
+#include "beamhill/log/log.h"
+#include "beamhill/scheduler/work_owner.h"
+
+namespace beamhill {
+namespace {
+
+// A VM whose executor has said nothing for so long is asked what it holds, and
+// is dialed anew if it does not even answer pings.
+constexpr Duration kVmSilence = std::chrono::milliseconds(2500);
+constexpr Duration kReattachPause = std::chrono::milliseconds(300);
+// VMs of one log line: below 4 KiB with the users' names.
+constexpr size_t kVmsOfLine = 100;
+
+// One line for many: hundreds of VMs are linked in the moment of a takeover,
+// and a line for each would be dropped.
+void LogVms(LogLevel level, const char* event, std::vector<std::string>& vms) {
+  for (size_t first = 0; first < vms.size(); first += kVmsOfLine) {
+    const size_t end = std::min(first + kVmsOfLine, vms.size());
+    std::string names;
+    for (size_t i = first; i < end; ++i) {
+      if (!names.empty()) names += " ";
+      names += vms[i];
+    }
+    Log(level, event, {{"count", end - first}, {"vms", names}});
+  }
+  vms.clear();
+}
+
+}  // namespace
+
+void WorkOwner::ScanVms() {
+  dispatcher_->AttachAgain();
+  Flush();
+  if (scanning_vms_) return;
+  scanning_vms_ = true;
+  table_.scan(rows::kExecutors,
+              lifetime_.Guard([this](Result<std::vector<Row>> rows) {
+                scanning_vms_ = false;
+                if (IsOk(rows)) OnVmRows(ValueOf(rows));
+              }));
+}
+
+void WorkOwner::ScanEarlierVms() {
+  table_.scan(rows::kEarlierExecutors,
+              lifetime_.Guard([this](Result<std::vector<Row>> rows) {
+                if (IsOk(rows)) OnEarlierVmRows(ValueOf(rows));
+              }));
+}
+
+void WorkOwner::OnVmRows(const std::vector<Row>& rows) {
+  for (const Row& row : rows) {
+    const auto record = DecodeRecord<VmRecord>(row.value);
+    if (!IsOk(record)) continue;
+    const std::string& name = ValueOf(record).vm;
+    ConnectUnlessKnown(ValueOf(record));
+    const auto it = vms_.find(name);  // None for an address that is none.
+    if (it != vms_.end()) it->second.registered = true;
+  }
+}
+
+// Of an executor that has been upgraded both rows are there, and only the other
+// one still follows its address.
+void WorkOwner::OnEarlierVmRows(const std::vector<Row>& rows) {
+  for (const Row& row : rows) {
+    const auto record = DecodeRecord<VmRecord>(row.value);
+    if (!IsOk(record)) continue;
+    const auto it = vms_.find(ValueOf(record).vm);
+    if (it != vms_.end() && it->second.registered) continue;
+    ConnectUnlessKnown(ValueOf(record));
+  }
+}
+
+void WorkOwner::ConnectUnlessKnown(const VmRecord& record) {
+  const auto it = vms_.find(record.vm);
+  const bool known =
+      it != vms_.end() && it->second.record.address == record.address;
+  if (!known) Connect(record);
+}
+
+void WorkOwner::Connect(const VmRecord& record) {
+  const Result<Address> address = ParseAddress(record.address);
+  if (!IsOk(address)) {
+    Log(LogLevel::kWarning, "bad_row",
+        {{"vm", record.vm}, {"error", ErrorOf(address).message}});
+    return;
+  }
+  VmPeer& vm = vms_[record.vm];
+  if (vm.peer) dispatcher_->OnLinkDown(record.vm);
+  vm.record = record;
+  const std::string name = record.vm;
+  DialedPeerHooks hooks;
+  hooks.on_open = [this, name] {
+    linked_.push_back(name);
+    dispatcher_->OnLinkUp(name);
+    Flush();
+  };
+  hooks.on_message = [this, name](const DispatchMessage& message) {
+    OnVmMessage(name, message);
+  };
+  hooks.on_down = [this, name](bool was_open) {
+    if (was_open) unlinked_.push_back(name);
+    dispatcher_->OnLinkDown(name);
+  };
+  vm.peer =
+      std::make_unique<DialedPeer>(loop_, ValueOf(address), std::move(hooks));
+}
+
+void WorkOwner::OnVmMessage(const std::string& vm,
+                            const DispatchMessage& message) {
+  const TimePoint now = BootClock::now();
+  dispatcher_->set_may_act(keeper_.MayAct() && !quiet_);
+  if (const auto* beat = std::get_if<VmHeartbeat>(&message)) {
+    dispatcher_->OnHeartbeat(vm, *beat, now);
+    Flush();
+    return;
+  }
+  if (const auto* status = std::get_if<VmStatus>(&message)) {
+    dispatcher_->OnStatus(vm, *status, now);
+  } else if (const auto* reports = std::get_if<RunReports>(&message)) {
+    dispatcher_->OnReports(vm, *reports, now);
+  } else if (const auto* pressure = std::get_if<VmPressure>(&message)) {
+    dispatcher_->OnPressure(vm, *pressure);
+    return;
+  } else if (const auto* inventory = std::get_if<VmInventory>(&message)) {
+    if (!dispatcher_->OnInventory(vm, *inventory, now)) {
+      Log(LogLevel::kInfo, "inventory_with_unknown_work", {{"vm", vm}});
+      ScanNotices();
+      vms_.at(vm).reattach = loop_.After(kReattachPause, [this, vm] {
+        // A link that has closed meanwhile attaches when it opens again.
+        if (!vms_.at(vm).peer->is_open()) return;
+        dispatcher_->OnLinkUp(vm);
+        Flush();
+      });
+      return;
+    }
+  }
+  TickSoon();
+}
+
+void WorkOwner::CheckLinks() {
+  for (auto& [name, vm] : vms_) {
+    vm.peer->CloseIfSilent(kVmSilence);
+    if (vm.peer->SinceMessage() > kVmSilence) dispatcher_->OnVmSilent(name);
+  }
+  LogVms(LogLevel::kInfo, "vms_linked", linked_);
+  LogVms(LogLevel::kWarning, "vms_unlinked", unlinked_);
+}
+
+}  // namespace beamhill
