End the stored ones of a conflicting transaction by its answer

Cause: where one of a transaction's submissions was stored already, each went again by itself: 0.18 s of a slow store for each, until it refused all.

Change: the store's answer to a conflict holds the rows that are there; those end as stored, and the others go again together.

--- a/beamhill/scheduler/job_desk.cc
+++ b/beamhill/scheduler/job_desk.cc
@@ -186,13 +186,14 @@
   table_.commit(std::move(transaction),
                 lifetime_.Guard([this, batch, now](const CommitAnswer& answer) {
                   --open_;
-                  OnSent(batch, now, answer.result);
+                  OnSent(batch, now, answer);
                   if (MaySend()) SendWaiting();
                 }));
 }
 
 void JobDesk::OnSent(const std::vector<Number>& batch, TimePoint sent_at,
-                     CommitResult result) {
+                     const CommitAnswer& answer) {
+  const CommitResult result = answer.result;
   if (IsServed(result)) {
     answer_times_.Add(now_() - sent_at);
     pause_ = Duration(0);
@@ -211,13 +212,29 @@
     left.push_back(number);
   }
   if (result == CommitResult::kConflict && batch.size() > 1) {
-    // One of them is there already; each by itself tells which.
-    for (const Number number : left) Send({number});
+    OnBatchConflict(left, answer.standing);
     return;
   }
   for (const Number number : left) OnSentOne(number, result);
 }
 
+void JobDesk::OnBatchConflict(const std::vector<Number>& batch,
+                              const std::vector<Row>& standing) {
+  if (standing.empty()) {
+    // Each by itself tells which.
+    for (const Number number : batch) Send({number});
+    return;
+  }
+  for (const Number number : batch) {
+    const std::string key =
+        rows::kWorkflows + submissions_.at(number).workflow.id;
+    const bool stored =
+        std::any_of(standing.begin(), standing.end(),
+                    [&key](const Row& row) { return row.key == key; });
+    if (stored) Finish(number, SubmitResult::kAlreadyStored);
+  }
+}
+
 void JobDesk::OnSentOne(Number number, CommitResult result) {
   Submission& submission = submissions_.at(number);
   switch (result) {
--- a/beamhill/scheduler/job_desk.h
+++ b/beamhill/scheduler/job_desk.h
@@ -98,7 +98,11 @@
   void SendWaiting();
   void Send(const std::vector<Number>& batch);
   void OnSent(const std::vector<Number>& batch, TimePoint sent_at,
-              CommitResult result);
+              const CommitAnswer& answer);
+  // One of several is there already: ends those that are, by the answer. The
+  // others go again, together.
+  void OnBatchConflict(const std::vector<Number>& batch,
+                       const std::vector<Row>& standing);
   void OnSentOne(Number number, CommitResult result);
   void Finish(Number number, SubmitResult result);
   // Ends one that no open transaction holds, by what is known of it.
--- a/beamhill/scheduler/job_desk_test.cc
+++ b/beamhill/scheduler/job_desk_test.cc
@@ -157,6 +157,18 @@
   EXPECT_THAT(held_.back().workflows, testing::ElementsAre("c"));
 }
 
+// Alone, each of them would take a turn of a slow table.
+TEST_F(JobDeskAnswersTest, OthersOfATransactionWithAStoredOneGoTogether) {
+  SubmitHeld("a");
+  for (const char* id : {"b", "c", "d"}) SubmitHeld(id);
+  AnswerHeld(0, CommitResult::kCommitted);
+  held_.at(1).done(
+      {CommitResult::kConflict, {}, {{"workflows/c", "stored", 7}}});
+  EXPECT_EQ(told_.at("c"), SubmitResult::kAlreadyStored);
+  ASSERT_THAT(held_, testing::SizeIs(3));
+  EXPECT_THAT(held_[2].workflows, testing::ElementsAre("b", "d"));
+}
+
 // What was sent can't be refused truthfully once the table turns out to answer
 // nobody.
 TEST_F(JobDeskAnswersTest, NothingMoreIsSentToATableThatAnswersNothing) {
--- a/beamhill/table/table.h
+++ b/beamhill/table/table.h
@@ -59,6 +59,9 @@
 struct CommitAnswer {
   CommitResult result = CommitResult::kUnknown;
   std::vector<uint64_t> versions;  // Of the writes, when committed.
+  // After a conflict, as far as the table tells: the rows with an expected
+  // version that are there, as they are.
+  std::vector<Row> standing = {};
 };
 
 using ReadAnswer = std::function<void(Result<std::vector<Row>>)>;
--- a/beamhill/testing/table_model.h
+++ b/beamhill/testing/table_model.h
@@ -47,6 +47,7 @@
   };
 
   uint64_t VersionOf(const std::string& key) const;
+  std::vector<Row> Standing(const Transaction& transaction) const;
 
   double reads_per_second_;
   double writes_per_second_;
