Ask the next owner where the table turned both away

A submission that the owner had not stored before it handed over, and whose own scheduler was turned away too, had tried both ways, and its caller waited until its deadline (two of them; five answers 504) though a new owner served from 1.5 s on.

Change: each owner is a new way; where the table does not answer here for 0.3 s, an owner that serves is asked as well; and what may be stored waits for the next owner within the time that callers wait. What is certainly not stored is refused at once, as before. SubmitCallTest's three new cases failed first.

--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -104,6 +104,8 @@
   };
   struct OpenSubmission {
     SubmitCall call;
+    TimePoint since{};
+    uint64_t relay = 0;  // The last one to an owner.
     Workflow workflow;
     std::function<void(SubmitResult)> done;
   };
--- a/beamhill/scheduler/scheduler_calls.cc
+++ b/beamhill/scheduler/scheduler_calls.cc
@@ -94,6 +94,7 @@
   workflow.offered_to = keeper_->epoch();
   const uint64_t number = next_call_++;
   OpenSubmission& submission = submissions_[number];
+  submission.since = BootClock::now();
   submission.workflow = std::move(workflow);
   submission.done = std::move(done);
   AdvanceSubmission(number);
@@ -102,7 +103,8 @@
 void Scheduler::AdvanceSubmission(uint64_t number) {
   const auto it = submissions_.find(number);
   if (it == submissions_.end()) return;
-  if (const auto way = it->second.call.Next(Reach()); way) {
+  const Duration waited = BootClock::now() - it->second.since;
+  if (const auto way = it->second.call.Next(Reach(), waited); way) {
     // It may end in here.
     TryToStore(number, *way);
     AdvanceSubmission(number);
@@ -133,8 +135,12 @@
     return;
   }
   const uint64_t id = next_call_++;
+  submissions_.at(number).relay = id;
   Relay(id, RelayedSubmit{id, workflow}, kSubmitRelayTimeout,
-        [this, number](std::optional<uint8_t> result) {
+        [this, number, id](std::optional<uint8_t> result) {
+          const auto it = submissions_.find(number);
+          // An earlier owner's says nothing of a later one.
+          if (it == submissions_.end() || it->second.relay != id) return;
           OnSubmitResult(number, SubmitWay::kOwner,
                          result ? static_cast<SubmitResult>(*result)
                                 : SubmitResult::kUnknown);
--- a/beamhill/scheduler/submit_call.cc
+++ b/beamhill/scheduler/submit_call.cc
@@ -8,6 +8,9 @@
 // It has had no answer of the table for so long that it may be cut off.
 constexpr Duration kServedLately = std::chrono::milliseconds(900);
 
+constexpr Duration kHerePatience = std::chrono::milliseconds(300);
+constexpr Duration kGiveUpAfter = std::chrono::milliseconds(2200);
+
 bool IsStored(SubmitResult result) {
   return result == SubmitResult::kAccepted ||
          result == SubmitResult::kAlreadyStored;
@@ -20,40 +23,42 @@
          owner.served_ago < kServedLately;
 }
 
-std::optional<SubmitWay> SubmitCall::Next(const OwnerReach& owner) {
+std::optional<SubmitWay> SubmitCall::Next(const OwnerReach& owner,
+                                          Duration waited) {
   if (outcome_) return std::nullopt;
   const bool serves = StoresForOthers(owner);
-  const bool owner_fails = owner_.result || !serves;
-  if (!owner_.tried && !here_.tried && serves) {
+  // A table that has not answered here by then may turn this scheduler away.
+  const bool here_fails = here_.result || waited >= kHerePatience;
+  if (!owner_.tried && serves && (!here_.tried || here_fails)) {
     owner_.tried = true;
     return SubmitWay::kOwner;
   }
+  const bool owner_fails = owner_.result || !serves;
   if (!here_.tried && owner_fails) {
     here_.tried = true;
     return SubmitWay::kHere;
   }
-  if (!owner_.tried && here_.result && serves) {
-    owner_.tried = true;
-    return SubmitWay::kOwner;
-  }
-  Conclude();
+  Conclude(waited);
   return std::nullopt;
 }
 
 void SubmitCall::OnResult(SubmitWay way, SubmitResult result) {
   Of(way).result = result;
+  if (result == SubmitResult::kUnknown) unsure_ = true;
   if (IsStored(result)) outcome_ = result;
 }
 
 void SubmitCall::OnOwnerLost() {
-  if (owner_.open()) owner_.result = SubmitResult::kUnknown;
+  if (owner_.open()) unsure_ = true;
+  owner_ = Attempt();
 }
 
-void SubmitCall::Conclude() {
+// One that may be stored can't be tried again by its caller: so the next owner
+// is waited for, as long as callers wait.
+void SubmitCall::Conclude(Duration waited) {
   if (owner_.open() || here_.open()) return;
-  const bool unsure = owner_.result == SubmitResult::kUnknown ||
-                      here_.result == SubmitResult::kUnknown;
-  outcome_ = unsure ? SubmitResult::kUnknown : SubmitResult::kRefused;
+  if (unsure_ && !owner_.tried && waited < kGiveUpAfter) return;
+  outcome_ = unsure_ ? SubmitResult::kUnknown : SubmitResult::kRefused;
 }
 
 }  // namespace beamhill
--- a/beamhill/scheduler/submit_call.h
+++ b/beamhill/scheduler/submit_call.h
@@ -4,14 +4,15 @@
 // Loads that it answers. Hundreds of schedulers that each write by themselves
 // queue behind one another in a slow table, where the owner stores what came
 // meanwhile in one transaction. A table that turns this scheduler away serves
-// the owner; an owner that is lost leaves the table. Either way may be tried
-// after the other, whatever became of it: storing a submission a second time
-// changes nothing.
+// the owner; an owner that is lost leaves the table; and one that both have
+// turned away may be stored by the next owner. Each way may be tried after the
+// other, whatever became of it: storing a submission a second time changes
+// nothing.
 //
 // Pure.
 //
 //   SubmitCall call;
-//   while (const auto way = call.Next(owner)) Try(*way);
+//   while (const auto way = call.Next(owner, waited)) Try(*way);
 //   call.OnResult(SubmitWay::kOwner, result);
 //   if (call.outcome()) Answer(*call.outcome());
 #ifndef BEAMHILL_SCHEDULER_SUBMIT_CALL_H_
@@ -41,13 +42,14 @@
 class SubmitCall {
  public:
   // A way to try now, which counts as tried from then on; nothing when there
-  // is none, or the outcome is known.
-  std::optional<SubmitWay> Next(const OwnerReach& owner);
+  // is none, or the outcome is known. `waited`: since the caller came.
+  std::optional<SubmitWay> Next(const OwnerReach& owner, Duration waited);
   void OnResult(SubmitWay way, SubmitResult result);
-  // No answer of the owner that was asked can come any more.
+  // No answer of the owner that was asked can come any more; another one, or
+  // the same on another link, can be asked.
   void OnOwnerLost();
-  // What the caller is told. A refusal only when every way that was tried has
-  // refused; nothing while it isn't known.
+  // What the caller is told. A refusal only when every try has refused; nothing
+  // while it isn't known.
   std::optional<SubmitResult> outcome() const { return outcome_; }
 
  private:
@@ -60,11 +62,11 @@
   Attempt& Of(SubmitWay way) {
     return way == SubmitWay::kOwner ? owner_ : here_;
   }
-  // No further way will be tried: sums up once none is open.
-  void Conclude();
+  void Conclude(Duration waited);
 
   Attempt owner_;
   Attempt here_;
+  bool unsure_ = false;  // Some try may have stored it.
   std::optional<SubmitResult> outcome_;
 };
 
--- a/beamhill/scheduler/submit_call_test.cc
+++ b/beamhill/scheduler/submit_call_test.cc
@@ -13,23 +13,25 @@
 const OwnerReach kUnheard = {true, milliseconds(600), milliseconds(300)};
 const OwnerReach kCutOff = {true, milliseconds(100), milliseconds(1200)};
 const OwnerReach kNone = {};
+constexpr Duration kSoon = milliseconds(50);
+constexpr Duration kLong = milliseconds(2500);
 
 // A slow table takes some transactions a second from all schedulers together.
 TEST(SubmitCallTest, OwnerThatIsThereStoresForAllAndNobodyElseWrites) {
   SubmitCall call;
-  EXPECT_EQ(call.Next(kServing), W::kOwner);
-  EXPECT_EQ(call.Next(kServing), std::nullopt);
+  EXPECT_EQ(call.Next(kServing, kSoon), W::kOwner);
+  EXPECT_EQ(call.Next(kServing, kSoon), std::nullopt);
   EXPECT_EQ(call.outcome(), std::nullopt);
   call.OnResult(W::kOwner, R::kAccepted);
   EXPECT_EQ(call.outcome(), R::kAccepted);
-  EXPECT_EQ(call.Next(kNone), std::nullopt);
+  EXPECT_EQ(call.Next(kNone, kSoon), std::nullopt);
 }
 
 TEST(SubmitCallTest, OwnerThatFallsSilentIsNotWaitedFor) {
   for (const OwnerReach& owner : {kUnheard, kCutOff, kNone}) {
     SubmitCall call;
-    EXPECT_EQ(call.Next(kServing), W::kOwner);
-    EXPECT_EQ(call.Next(owner), W::kHere);
+    EXPECT_EQ(call.Next(kServing, kSoon), W::kOwner);
+    EXPECT_EQ(call.Next(owner, kSoon), W::kHere);
     call.OnResult(W::kHere, R::kAlreadyStored);
     EXPECT_EQ(call.outcome(), R::kAlreadyStored);
   }
@@ -37,17 +39,17 @@
 
 TEST(SubmitCallTest, WithoutAnOwnerItIsStoredHere) {
   SubmitCall call;
-  EXPECT_EQ(call.Next(kNone), W::kHere);
+  EXPECT_EQ(call.Next(kNone, kSoon), W::kHere);
   call.OnResult(W::kHere, R::kAccepted);
   EXPECT_EQ(call.outcome(), R::kAccepted);
 }
 
 TEST(SubmitCallTest, OwnerThatComesBackIsAskedAfterATableThatTurnsUsAway) {
   SubmitCall call;
-  EXPECT_EQ(call.Next(kUnheard), W::kHere);
-  EXPECT_EQ(call.Next(kServing), std::nullopt);
+  EXPECT_EQ(call.Next(kUnheard, kSoon), W::kHere);
+  EXPECT_EQ(call.Next(kServing, kSoon), std::nullopt);
   call.OnResult(W::kHere, R::kRefused);
-  EXPECT_EQ(call.Next(kServing), W::kOwner);
+  EXPECT_EQ(call.Next(kServing, kSoon), W::kOwner);
 }
 
 struct Case {
@@ -65,25 +67,59 @@
                         Case{R::kUnknown, R::kAlreadyStored, R::kAlreadyStored},
                         Case{std::nullopt, R::kRefused, R::kUnknown}}) {
     SubmitCall call;
-    EXPECT_EQ(call.Next(kServing), W::kOwner);
+    EXPECT_EQ(call.Next(kServing, kSoon), W::kOwner);
     if (c.owner) {
       call.OnResult(W::kOwner, *c.owner);
     } else {
       call.OnOwnerLost();
     }
-    EXPECT_EQ(call.Next(kNone), W::kHere);
+    EXPECT_EQ(call.Next(kNone, kSoon), W::kHere);
     call.OnResult(W::kHere, *c.here);
-    EXPECT_EQ(call.Next(kNone), std::nullopt);
+    EXPECT_EQ(call.Next(kNone, kLong), std::nullopt);
     EXPECT_EQ(call.outcome(), c.outcome);
   }
 }
 
+// The table turns the owner away, and this scheduler as well: callers waited
+// until their deadline though there was a new owner after 1.5 s.
+TEST(SubmitCallTest, NextOwnerIsAskedWhereBothWereTurnedAway) {
+  SubmitCall call;
+  EXPECT_EQ(call.Next(kServing, kSoon), W::kOwner);
+  EXPECT_EQ(call.Next(kCutOff, milliseconds(900)), W::kHere);
+  call.OnOwnerLost();
+  EXPECT_EQ(call.Next(kNone, milliseconds(1000)), std::nullopt);
+  EXPECT_EQ(call.Next(kServing, milliseconds(1500)), W::kOwner);
+  call.OnResult(W::kOwner, R::kAccepted);
+  EXPECT_EQ(call.outcome(), R::kAccepted);
+}
+
+TEST(SubmitCallTest, OneThatMayBeStoredWaitsForTheNextOwnerButNotForLong) {
+  SubmitCall call;
+  EXPECT_EQ(call.Next(kServing, kSoon), W::kOwner);
+  call.OnOwnerLost();
+  EXPECT_EQ(call.Next(kNone, kSoon), W::kHere);
+  call.OnResult(W::kHere, R::kRefused);
+  EXPECT_EQ(call.Next(kNone, kSoon), std::nullopt);
+  EXPECT_EQ(call.outcome(), std::nullopt);
+  EXPECT_EQ(call.Next(kNone, kLong), std::nullopt);
+  EXPECT_EQ(call.outcome(), R::kUnknown);
+}
+
+// The caller can come again.
+TEST(SubmitCallTest, WhatIsCertainlyNotStoredIsRefusedAtOnce) {
+  SubmitCall call;
+  EXPECT_EQ(call.Next(kNone, kSoon), W::kHere);
+  call.OnResult(W::kHere, R::kRefused);
+  EXPECT_EQ(call.Next(kNone, kSoon), std::nullopt);
+  EXPECT_EQ(call.outcome(), R::kRefused);
+}
+
 TEST(SubmitCallTest, RefusalHereWaitsForTheOwnersAnswer) {
   SubmitCall call;
-  EXPECT_EQ(call.Next(kServing), W::kOwner);
-  EXPECT_EQ(call.Next(kUnheard), W::kHere);
+  EXPECT_EQ(call.Next(kServing, kSoon), W::kOwner);
+  EXPECT_EQ(call.Next(kUnheard, kSoon), W::kHere);
   call.OnResult(W::kHere, R::kRefused);
-  EXPECT_EQ(call.Next(kUnheard), std::nullopt);
+  EXPECT_EQ(call.Next(kUnheard, kSoon), std::nullopt);
   EXPECT_EQ(call.outcome(), std::nullopt);
   call.OnResult(W::kOwner, R::kAccepted);
   EXPECT_EQ(call.outcome(), R::kAccepted);
