--- a/beamhill/replay/fleet_start.cc
+++ b/beamhill/replay/fleet_start.cc
@@ -132,9 +132,8 @@
     for (const auto& keeper : keepers_) {
       if (keeper->owns()) owner_epoch_ = keeper->epoch();
     }
-    if (outcome_.owners == 1)
-      Load({rows::kWorkflows, rows::kProgress, rows::kCancels,
-            rows::kExecutors});
+    if (outcome_.owners > 1) return;
+    Load({rows::kWorkflows, rows::kProgress, rows::kCancels, rows::kExecutors});
   }
 
   // As a new owner does: one table after the other, the VMs last here.
