Test that an owner finds VMs by rows of both versions

Found on a last read of the change: the account tells how an upgrade goes, and no test showed it. The first form of the test passed also without the rule that the newer row wins, since the next scan mended it before the earlier link opened; with the interval of scans for earlier rows as an option (15 s as before) it fails without the rule (the VM's left address is dialed, 222 and 224) and passes with it.

--- a/beamhill/scheduler/job_desk.cc
+++ b/beamhill/scheduler/job_desk.cc
@@ -6,9 +6,9 @@
 namespace beamhill {
 namespace {
 
-// Transactions of submissions that may be open at a time, all but one of them
-// to repeat what was not answered: the table takes those of one partition one
-// after another.
+// Transactions of submissions that may be open at a time. While answers come it
+// is one, since the table takes those of one partition one after another; each
+// whose answer is lost stays open until its time-out.
 constexpr int kMostOpen = 5;
 // After a refusal, doubled with each in a row.
 constexpr Duration kFirstPause = std::chrono::milliseconds(100);
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -19,8 +19,6 @@
 constexpr Duration kCommitRetry = std::chrono::milliseconds(150);
 // Pairs of images in a log line: below 4 KiB with the users' names.
 constexpr size_t kPairsOfLine = 60;
-// Executors of earlier versions come only while an upgrade is under way.
-constexpr Duration kEarlierVmScanInterval = std::chrono::seconds(15);
 
 UnixMillis UnixNow() {
   return std::chrono::duration_cast<UnixMillis>(
@@ -160,8 +158,8 @@
   OnEarlierVmRows(loading.found.at(rows::kEarlierExecutors));
   tick_ = loop_.Every(kTickInterval, [this] { Tick(); });
   vm_scan_ = loop_.Every(options_.vm_scan_interval, [this] { ScanVms(); });
-  earlier_vm_scan_ =
-      loop_.Every(kEarlierVmScanInterval, [this] { ScanEarlierVms(); });
+  earlier_vm_scan_ = loop_.Every(options_.earlier_vm_scan_interval,
+                                 [this] { ScanEarlierVms(); });
   notice_scan_ =
       loop_.Every(options_.notice_scan_interval, [this] { ScanNotices(); });
   summary_ = loop_.Every(kSummaryInterval, [this] { LogSummary(); });
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -40,6 +40,9 @@
   bool first = false;  // No owner came before.
   // How often new VMs are looked for in the table.
   Duration vm_scan_interval = std::chrono::milliseconds(1500);
+  // And for rows of executors of an earlier version, which come only while an
+  // upgrade is under way.
+  Duration earlier_vm_scan_interval = std::chrono::seconds(15);
   // How often missed notices of submissions and cancellations are: see
   // kOrderLife.
   Duration notice_scan_interval = std::chrono::milliseconds(800);
--- a/beamhill/scheduler/work_owner_test.cc
+++ b/beamhill/scheduler/work_owner_test.cc
@@ -145,7 +145,7 @@
   }
 
   void Own(uint64_t epoch) {
-    WorkOwnerOptions options;
+    WorkOwnerOptions options = options_;
     options.epoch = epoch;
     owner_ = std::make_unique<WorkOwner>(
         *loop_, table_.AsTable(), *keeper_, options,
@@ -170,6 +170,7 @@
   std::unique_ptr<EventLoop> loop_ = std::move(ValueOf(EventLoop::Create()));
   FaultyTable table_;
   Evacuations evacuations_{true, 0, {}};
+  WorkOwnerOptions options_;
   Metrics metrics_;
   std::unique_ptr<OwnershipKeeper> keeper_;
   std::unique_ptr<WorkOwner> owner_;
@@ -202,6 +203,27 @@
       [&] { return first.attached() >= 2 && second.attached() >= 2; }));
 }
 
+// Executors of an earlier version have another row, and those that have been
+// upgraded have both; the earlier one may name an address they have left.
+TEST_F(WorkOwnerTest, VmsOfEarlierVersionsAreFoundAndUpgradedOnesWhereTheyAre) {
+  options_.earlier_vm_scan_interval = milliseconds(50);
+  VmWithUnknownWork earlier(*loop_, "vm-1");
+  VmWithUnknownWork upgraded(*loop_, "vm-2");
+  VmWithUnknownWork left_address(*loop_, "vm-2");
+  const auto row = [](const char* prefix, const VmWithUnknownWork& vm) {
+    return RowWrite{prefix + vm.Record().vm, kAnyVersion,
+                    EncodeRecord(vm.Record())};
+  };
+  Transaction rows;
+  rows.writes = {row(rows::kEarlierExecutors, earlier),
+                 row(rows::kEarlierExecutors, left_address),
+                 row(rows::kExecutors, upgraded)};
+  table_.model().Commit(rows);
+  EXPECT_TRUE(RunUntil(
+      [&] { return earlier.attached() >= 2 && upgraded.attached() >= 2; }));
+  EXPECT_EQ(left_address.attached(), 0);
+}
+
 // With thousands of runs something has always just ended: a planned stop of the
 // owner of 800 VMs started nothing for 1.1 s before it gave the work up.
 TEST_F(WorkOwnerTest, StopDoesNotWaitUntilNothingEndsAnyMore) {
