Name a runner's life by its id and the moment of its start

What callers saw: tasks that were done ran again (TWICE), and lasting tasks stood still for 10 s and more though there was room (LOST), once a runner had started again under the id that it had.

Cause: a life of a runner was its id alone, and the platform keeps ids over restarts now. So the executor took the next start for the one before: its registrations were dropped by their sequence, nobody asked for an inventory, and the owner held for good what had run there. Looks went on to settle ends through the number that the earlier start had reached; the next one counts from 1, forgot its ends below that unread, and the owner passed over the rest by their numbers ('processed'). Later a stop proved that such a run 'never begins', and it was started again.

All that is kept, compared and sent by life (registrations, reports, settled ends, orders, tickets, past lives) begins anew with it, as it always did for a runner with another id. Messages keep their shape, so versions work side by side; where an executor of the earlier version named a life by its id alone, a later name is taken for the same life, and stops settle what is not there.

Ruled out: registrations that never came (runner_answers shows the new start answering looks within a second); an owner that lost what it was told (one owner, no failed commit); a restart beside a new owner passes on the code as found, since that one asks for an inventory.

--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "beamhill/dispatch/dispatcher.h"
+#include "beamhill/dispatch/life_name.h"
 
 namespace beamhill {
 namespace {
@@ -167,9 +168,12 @@
 void Dispatcher::TakeInventoryStatus(const std::string& name, Vm& vm,
                                      const VmStatus& status, TimePoint now) {
   if (status.life != vm.status.life) {
-    // Another life of the runner: all that the earlier one ran is gone.
-    LetGoAll(name, vm, status.life.empty() ? "runner gone" : "runner replaced",
-             now);
+    // Another life of the runner: all that the earlier one ran is gone. Where
+    // it can't be told whether it is another, stops settle what is not there.
+    if (!MayBeSameLife(status.life, vm.status.life)) {
+      LetGoAll(name, vm,
+               status.life.empty() ? "runner gone" : "runner replaced", now);
+    }
     vm.trial.reset();
     vm.processed = 0;
     vm.settled = 0;
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -142,6 +142,33 @@
   EXPECT_GT(again[0].second.run, first[0].second.run);
 }
 
+// A start that the executor's earlier version had sent may yet take effect.
+TEST_F(DispatcherTest, LifeThatALaterExecutorNamesMoreExactlyKeepsItsWork) {
+  Take({});
+  lives_["vm-1"] = "i-1";
+  Link("vm-1");
+  dispatcher_->AddWorkflow(OneStep("a", 1, 2), std::nullopt, now_);
+  const RunRef run = Tick().starts[0].second;
+  lives_["vm-1"] = "i-1/1764745200000";
+  Link("vm-1");
+  EXPECT_THAT(Take().stops, ElementsAre(std::pair("vm-1", run)));
+  EXPECT_THAT(Tick().starts, IsEmpty());
+  // Numbers of ends may have begun anew.
+  End("vm-1", 1, run, RunEndKind::kDone);
+  EXPECT_EQ(dispatcher_->counts().done, 1);
+}
+
+TEST_F(DispatcherTest, RunnerThatStartsAgainUnderItsIdIsAnotherLife) {
+  Take({});
+  lives_["vm-1"] = "i-1/1764745200000";
+  Link("vm-1");
+  dispatcher_->AddWorkflow(OneStep("a", 1, 2), std::nullopt, now_);
+  ASSERT_THAT(Tick().starts, SizeIs(1));
+  lives_["vm-1"] = "i-1/1764745200001";
+  Answer("vm-1");
+  EXPECT_THAT(Tick().starts, SizeIs(1));
+}
+
 TEST_F(DispatcherTest, SilentVmsWorkStartsElsewhereOnlyAfterItsLease) {
   Take({});
   Link("vm-1");
--- /dev/null
+++ b/beamhill/dispatch/life_name.cc
@@ -0,0 +1,31 @@
+#include "beamhill/dispatch/life_name.h"
+
+namespace beamhill {
+namespace {
+
+constexpr char kSeparator = '/';
+
+bool TellsStart(std::string_view life) {
+  return life.find(kSeparator) != std::string_view::npos;
+}
+
+}  // namespace
+
+std::string LifeName(std::string_view runner,
+                     std::optional<UnixMillis> started) {
+  std::string name(runner);
+  if (started) name += kSeparator + std::to_string(started->count());
+  return name;
+}
+
+std::string RunnerOf(std::string_view life) {
+  return std::string(life.substr(0, life.find(kSeparator)));
+}
+
+bool MayBeSameLife(std::string_view a, std::string_view b) {
+  if (a == b) return true;
+  if (TellsStart(a) && TellsStart(b)) return false;
+  return !a.empty() && RunnerOf(a) == RunnerOf(b);
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/dispatch/life_name.h
@@ -0,0 +1,31 @@
+// Names of lives of runners.
+//
+// A runner may start again under the id that it had, and holds nothing of
+// before then. So a life is named by the id and the moment of its start, where
+// the runner tells it; processes pass the name on and compare it as a whole.
+//
+//   LifeName("i-7f3a", UnixMillis(1764745200000));  // "i-7f3a/1764745200000"
+//   RunnerOf("i-7f3a/1764745200000");               // "i-7f3a"
+#ifndef BEAMHILL_DISPATCH_LIFE_NAME_H_
+#define BEAMHILL_DISPATCH_LIFE_NAME_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "beamhill/workflow/workflow.h"
+
+namespace beamhill {
+
+// The id, which holds no slash, stands alone where no start is told.
+std::string LifeName(std::string_view runner,
+                     std::optional<UnixMillis> started);
+// The id of the runner whose life it is.
+std::string RunnerOf(std::string_view life);
+// Whether both may name one life: executors of an earlier version leave out the
+// moment of the start.
+bool MayBeSameLife(std::string_view a, std::string_view b);
+
+}  // namespace beamhill
+
+#endif  // BEAMHILL_DISPATCH_LIFE_NAME_H_
--- /dev/null
+++ b/beamhill/dispatch/life_name_test.cc
@@ -0,0 +1,26 @@
+#include "beamhill/dispatch/life_name.h"
+
+#include <gtest/gtest.h>
+
+namespace beamhill {
+namespace {
+
+TEST(LifeNameTest, TellsStartsOfOneRunnerApart) {
+  const std::string first = LifeName("i-1", UnixMillis(5));
+  const std::string second = LifeName("i-1", UnixMillis(6));
+  EXPECT_NE(first, second);
+  EXPECT_FALSE(MayBeSameLife(first, second));
+  EXPECT_EQ(RunnerOf(first), "i-1");
+  EXPECT_EQ(RunnerOf(second), "i-1");
+}
+
+TEST(LifeNameTest, NameWithoutAStartMayBeAnyLifeOfItsRunner) {
+  EXPECT_EQ(LifeName("i-1", std::nullopt), "i-1");
+  EXPECT_EQ(RunnerOf("i-1"), "i-1");
+  EXPECT_TRUE(MayBeSameLife("i-1", LifeName("i-1", UnixMillis(5))));
+  EXPECT_FALSE(MayBeSameLife("i-1", LifeName("i-2", UnixMillis(5))));
+  EXPECT_FALSE(MayBeSameLife("", "i-1"));
+}
+
+}  // namespace
+}  // namespace beamhill
