Send calls for a life of a runner only over connections of that life

What callers would see: between a restart under the same id and the registration that tells of it, calls made for the life before reach the next one, as no header names the start. A start runs there unknown to anyone, under a lease counted by the other clock; a look settles ends there unread, so done work runs again; the comparison of names in answers comes too late for either.

Cause: Expect-Instance names the id, and an address can't tell a process from its successor. A connection can: it ends with its process. So an order for one life is never carried out by another, which is what the executor and the owner have always relied on. evhttp opens a connection anew when its server has closed it while idle; such connections are dropped now.

--- a/beamhill/http/http_client.cc
+++ b/beamhill/http/http_client.cc
@@ -5,6 +5,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <algorithm>
 #include <map>
 #include <utility>
 #include <vector>
@@ -29,12 +30,28 @@
 }  // namespace
 
 struct HttpClient::Impl {
+  struct FreeConnection {
+    void operator()(evhttp_connection* raw) const {
+      evhttp_connection_set_closecb(raw, nullptr, nullptr);
+      evhttp_connection_free(raw);
+    }
+  };
+  struct Connection {
+    Impl* owner = nullptr;
+    std::unique_ptr<evhttp_connection, FreeConnection> raw;
+    std::string peer;     // Who has answered on it; empty: nobody was asked.
+    bool closed = false;  // evhttp would open it again, to anyone.
+  };
+  using ConnectionPtr = std::unique_ptr<Connection>;
+
   struct Pending {
     Impl* owner = nullptr;
-    evhttp_connection* connection = nullptr;
+    ConnectionPtr connection;
     evhttp_request* raw = nullptr;
     Stream stream;
     Done done;
+    // Of a question.
+    std::function<std::string(const HttpResponse&)> name_of;
     Timer deadline;
     bool failed_after_connect = false;
   };
@@ -42,39 +59,64 @@
   Impl(EventLoop& l, Address s, size_t max)
       : loop(l), server(std::move(s)), max_connections(max) {}
 
+  // Connections go before the calls that are open on them.
   ~Impl() {
-    for (auto& [key, pending] : open) {
-      evhttp_connection_free(pending->connection);
-    }
-    for (evhttp_connection* connection : idle) {
-      evhttp_connection_free(connection);
-    }
-    for (evhttp_connection* connection : dying) {
-      evhttp_connection_free(connection);
-    }
+    for (auto& [key, pending] : open) pending->connection.reset();
   }
 
-  evhttp_connection* TakeConnection() {
-    if (!idle.empty()) {
-      evhttp_connection* connection = idle.back();
-      idle.pop_back();
-      return connection;
-    }
-    if (open.size() >= max_connections) return nullptr;
-    evhttp_connection* connection = evhttp_connection_base_new(
-        loop.base(), nullptr, server.ip.c_str(), server.port);
-    evhttp_connection_set_retries(connection, 0);
-    evhttp_connection_set_max_headers_size(connection, kMaxHeaderBytes);
+  ConnectionPtr Connect() {
+    auto connection = std::make_unique<Connection>();
+    connection->owner = this;
+    connection->raw.reset(evhttp_connection_base_new(
+        loop.base(), nullptr, server.ip.c_str(), server.port));
+    evhttp_connection* raw = connection->raw.get();
+    evhttp_connection_set_retries(raw, 0);
+    evhttp_connection_set_max_headers_size(raw, kMaxHeaderBytes);
+    evhttp_connection_set_closecb(raw, &OnClose, connection.get());
     return connection;
   }
 
+  static void OnClose(evhttp_connection*, void* arg) {
+    auto* connection = static_cast<Connection*>(arg);
+    connection->closed = true;
+    connection->owner->DropClosed(connection);
+  }
+
+  void DropClosed(Connection* connection) {
+    const auto it = std::find_if(
+        idle.begin(), idle.end(),
+        [connection](const auto& entry) { return entry.get() == connection; });
+    if (it == idle.end()) return;  // Its call ends with it.
+    FreeLater(std::move(*it));
+    idle.erase(it);
+  }
+
+  // The idle connection that was used last; null when there is none.
+  ConnectionPtr TakeIdle() {
+    if (idle.empty()) return nullptr;
+    ConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
+    return connection;
+  }
+
+  // The same, of that peer. Those of others are of no use any more.
+  ConnectionPtr TakeIdleOf(const std::string& peer) {
+    while (ConnectionPtr connection = TakeIdle()) {
+      if (connection->peer == peer) return connection;
+      FreeLater(std::move(connection));
+    }
+    return nullptr;
+  }
+
+  // Null when the pool is full.
+  ConnectionPtr ConnectIfAllowed() {
+    return open.size() < max_connections ? Connect() : nullptr;
+  }
+
   // Frees the connection outside of its own callbacks.
-  void FreeLater(evhttp_connection* connection) {
-    dying.push_back(connection);
-    reaper = loop.After(Duration(0), [this] {
-      for (evhttp_connection* c : dying) evhttp_connection_free(c);
-      dying.clear();
-    });
+  void FreeLater(ConnectionPtr connection) {
+    dying.push_back(std::move(connection));
+    reaper = loop.After(Duration(0), [this] { dying.clear(); });
   }
 
   // Removes the call from the table and reports its outcome.
@@ -82,10 +124,14 @@
     const auto it = open.find(pending);
     const std::unique_ptr<Pending> owned = std::move(it->second);
     open.erase(it);
-    if (reuse) {
-      idle.push_back(owned->connection);
+    ConnectionPtr connection = std::move(owned->connection);
+    if (owned->name_of && outcome.delivery == HttpDelivery::kAnswered) {
+      connection->peer = owned->name_of(outcome.response);
+    }
+    if (reuse && !connection->closed) {
+      idle.push_back(std::move(connection));
     } else {
-      FreeLater(owned->connection);
+      FreeLater(std::move(connection));
     }
     owned->deadline.Cancel();
     owned->done(outcome);
@@ -141,8 +187,8 @@
   // Connections of a pool go silent together, when what lies between does; so
   // after one that did, the idle ones are not trusted with a call either.
   void DropIdle() {
-    for (evhttp_connection* connection : std::exchange(idle, {})) {
-      FreeLater(connection);
+    for (ConnectionPtr& connection : std::exchange(idle, {})) {
+      FreeLater(std::move(connection));
     }
   }
 
@@ -155,17 +201,70 @@
   }
 
   void Start(const HttpCall& call, Duration timeout, Stream stream, Done done) {
-    evhttp_connection* connection = TakeConnection();
+    ConnectionPtr connection = TakeIdle();
+    if (connection == nullptr) connection = ConnectIfAllowed();
     if (connection == nullptr) {
       RefuseLater(std::move(done));
       return;
     }
-    auto owned = std::make_unique<Pending>();
-    Pending* pending = owned.get();
-    pending->owner = this;
-    pending->connection = connection;
+    auto pending = std::make_unique<Pending>();
     pending->stream = std::move(stream);
     pending->done = std::move(done);
+    Send(call, timeout, std::move(connection), std::move(pending));
+  }
+
+  void StartFrom(const HttpPeer& peer, const HttpCall& call, Duration timeout,
+                 Done done) {
+    if (ConnectionPtr connection = TakeIdleOf(peer.name)) {
+      SendOn(std::move(connection), call, timeout, std::move(done));
+      return;
+    }
+    ConnectionPtr connection = ConnectIfAllowed();
+    if (connection == nullptr) {
+      RefuseLater(std::move(done));
+      return;
+    }
+    const TimePoint deadline = BootClock::now() + timeout;
+    auto question = std::make_unique<Pending>();
+    question->name_of = peer.name_of;
+    question->done = [this, name = peer.name, call, deadline,
+                      done = std::move(done)](const HttpOutcome& outcome) {
+      OnQuestionAnswered(name, call, deadline, outcome, done);
+    };
+    Send(peer.question, timeout, std::move(connection), std::move(question));
+  }
+
+  // The connection of the answer, if it is still open, is the idle one that was
+  // used last.
+  void OnQuestionAnswered(const std::string& peer, const HttpCall& call,
+                          TimePoint deadline, HttpOutcome outcome,
+                          const Done& done) {
+    const TimePoint now = BootClock::now();
+    const bool answered = outcome.delivery == HttpDelivery::kAnswered;
+    if (answered && now < deadline) {
+      if (ConnectionPtr connection = TakeIdleOf(peer)) {
+        SendOn(std::move(connection), call, deadline - now, done);
+        return;
+      }
+    }
+    outcome.delivery = HttpDelivery::kNotSent;
+    done(outcome);
+  }
+
+  void SendOn(ConnectionPtr connection, const HttpCall& call, Duration timeout,
+              Done done) {
+    auto pending = std::make_unique<Pending>();
+    pending->done = std::move(done);
+    Send(call, timeout, std::move(connection), std::move(pending));
+  }
+
+  // `pending` holds what to do with the answer.
+  void Send(const HttpCall& call, Duration timeout, ConnectionPtr connection,
+            std::unique_ptr<Pending> owned) {
+    Pending* pending = owned.get();
+    evhttp_connection* raw = connection->raw.get();
+    pending->owner = this;
+    pending->connection = std::move(connection);
     pending->raw = evhttp_request_new(&OnComplete, pending);
     evhttp_request_set_error_cb(pending->raw, &OnError);
     if (pending->stream.on_bytes) {
@@ -183,7 +282,7 @@
     open.emplace(pending, std::move(owned));
     pending->deadline =
         loop.After(timeout, [this, pending] { OnDeadline(pending); });
-    evhttp_make_request(connection, pending->raw, MethodOf(call.method),
+    evhttp_make_request(raw, pending->raw, MethodOf(call.method),
                         call.target.c_str());
   }
 
@@ -201,8 +300,8 @@
   Address server;
   size_t max_connections;
   std::map<Pending*, std::unique_ptr<Pending>> open;
-  std::vector<evhttp_connection*> idle;
-  std::vector<evhttp_connection*> dying;
+  std::vector<ConnectionPtr> idle;
+  std::vector<ConnectionPtr> dying;
   Timer reaper;
   std::map<uint64_t, Timer> refusals;
   uint64_t next_refusal = 0;
@@ -221,6 +320,11 @@
   impl_->Start(call, timeout, std::move(stream), std::move(done));
 }
 
+void HttpClient::FetchFrom(const HttpPeer& peer, const HttpCall& call,
+                           Duration timeout, Done done) {
+  impl_->StartFrom(peer, call, timeout, std::move(done));
+}
+
 size_t HttpClient::open_connections() const {
   return impl_->open.size() + impl_->idle.size();
 }
--- a/beamhill/http/http_client.h
+++ b/beamhill/http/http_client.h
@@ -6,6 +6,10 @@
 //   HttpClient client(loop, {"127.0.0.1", 8080}, 64);
 //   client.Fetch({"GET", "/healthz"}, std::chrono::seconds(1),
 //                [](const HttpOutcome& outcome) { ... });
+//
+// A process that comes back at its address can't be told from the one before by
+// the address. FetchFrom sends a call only over connections on which the
+// process that is meant has answered, and a connection ends with its process.
 #ifndef BEAMHILL_HTTP_HTTP_CLIENT_H_
 #define BEAMHILL_HTTP_HTTP_CLIENT_H_
 
@@ -35,9 +39,21 @@
   std::string host = {};
 };
 
+// Which process at the server's address a call is meant for.
+struct HttpPeer {
+  std::string name;
+  // Asked first on each new connection. It must do no harm to any process.
+  HttpCall question;
+  // Names the process that gave this answer; empty where it doesn't tell.
+  std::function<std::string(const HttpResponse&)> name_of;
+};
+
 enum class HttpDelivery {
   kAnswered,  // `response` holds the whole answer.
-  kNotSent,   // No byte of the request reached the server's application.
+  // No byte of the request reached the server's application. Where another
+  // process than the one meant is there, `response` is its answer to the
+  // question.
+  kNotSent,
   kNoAnswer,  // Sent at least in part; no whole answer came.
 };
 
@@ -67,6 +83,11 @@
   void Fetch(const HttpCall& call, Duration timeout, Done done);
   void Fetch(const HttpCall& call, Duration timeout, Stream stream, Done done);
 
+  // As Fetch, for the process that is meant and no other. `timeout` holds for
+  // the question and the call together.
+  void FetchFrom(const HttpPeer& peer, const HttpCall& call, Duration timeout,
+                 Done done);
+
   size_t open_connections() const;
 
  private:
