Let who answers looks settle which life of a runner came late

What callers would see: a VM that takes no work for good. An executor that has just started knows of no earlier lives. A registration of one that was held up, and comes after the present one's, made it take the dead life for the present one and drop all registrations of the living one as late.

Where looks are answered by another life than the one that registered last, the next registration is believed now, whatever came before; the life that answers registers about once a second. Ids that a runner keeps over restarts make the case likelier, since a late registration differs in its start only; it is of the same class: a peer that is known by a name alone.

Evidence: LateRegistrationDoesNotKeepOutTheLifeThatAnswers, red before.

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -120,7 +120,7 @@
 
 void Executor::OnRunner(const VmStatus& status,
                         std::optional<RunnerClock> clock) {
-  if (IsEarlierLife(status.life)) {
+  if (IsEarlierLife(status.life) && !another_answers_) {
     hooks_.log("late_registration", "",
                status.life + " was followed by " + status_.life);
     return;
@@ -136,8 +136,12 @@
                    (status_.life.empty() ? "none" : status_.life) + ", labels" +
                    labels);
     NoteEarlierLife(status_.life);
+    earlier_lives_.erase(
+        std::remove(earlier_lives_.begin(), earlier_lives_.end(), status.life),
+        earlier_lives_.end());
     ResetLife();
     leaving_since_.reset();
+    another_answers_ = false;
     runner_is_gone_ = false;
     inventory_wanted_ = true;
     last_answer_ = hooks_.now();
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -77,7 +77,8 @@
            ExecutorHooks hooks);
 
   // The runner has registered or renewed its registration. One of an earlier
-  // life, which was long on its way, changes nothing.
+  // life, which was long on its way, changes nothing; which of two is the
+  // earlier one is settled by who answers looks.
   void OnRunner(const VmStatus& status, std::optional<RunnerClock> clock);
   // The runner of that life has said that it ends now.
   void OnRunnerLeft(const std::string& life);
@@ -206,6 +207,8 @@
   std::chrono::milliseconds NextWait() const;
   void OnView(RunnerView view, TimePoint sent_at, uint64_t epoch,
               const std::string& life);
+  // The next registration is that of the life that answers, whichever it is.
+  void NoteAnotherAnswers();
   void ReportEnds(const RunnerView& view);
   void SendInventory(const RunnerView& view);
   void SendEmptyInventory();
@@ -263,6 +266,9 @@
   VmStatus status_;
   // Lives of the runner that a later one has followed, the newest last.
   std::deque<std::string> earlier_lives_;
+  // Another life answers at the runner's address than the one that registered
+  // last.
+  bool another_answers_ = false;
   std::optional<TimePoint> leaving_since_;
   bool runner_is_gone_ = false;
   RunnerClock clock_{};  // The runner's reading at `clock_at_`.
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -80,6 +80,7 @@
     if (view.reply.verdict == RunnerVerdict::kFenced) {
       hooks_.log("fenced", "", "epoch " + std::to_string(epoch));
     }
+    if (view.reply.verdict == RunnerVerdict::kOtherLife) NoteAnotherAnswers();
     return;
   }
   NoteClock(view.reply.clock);
@@ -135,6 +136,12 @@
   return silent && now >= last + options_.lease_margin;
 }
 
+void Executor::NoteAnotherAnswers() {
+  if (another_answers_) return;
+  another_answers_ = true;
+  hooks_.log("another_life_answers", "", "not " + status_.life);
+}
+
 void Executor::ReportEnds(const RunnerView& view) {
   RunReports reports{epoch_, status_.life, {}, {}, {}};
   for (const RunEnd& end : view.ended) {
--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -33,8 +33,12 @@
     AnswerLook({{Run(0), 50, 0}});
   }
 
-  void LoseLooks() {
-    for (auto& [call, done] : std::exchange(looks_, {})) done(RunnerView{});
+  void LoseLooks() { EndLooks(RunnerVerdict::kNoAnswer); }
+
+  void EndLooks(RunnerVerdict verdict) {
+    RunnerView view;
+    view.reply.verdict = verdict;
+    for (auto& [call, done] : std::exchange(looks_, {})) done(view);
   }
 
   // The line about the loss of a runner that first says that it leaves, or not.
@@ -139,6 +143,19 @@
               testing::ElementsAre(Run(1)));
 }
 
+// An executor that has just started can't know which of two came late.
+TEST_F(ExecutorLossesTest, LateRegistrationDoesNotKeepOutTheLifeThatAnswers) {
+  Register("i-1/2");
+  Register("i-1/1");
+  Attach(1);
+  EndLooks(RunnerVerdict::kOtherLife);
+  Register("i-1/2");
+  EXPECT_EQ(executor_->status().life, "i-1/2");
+  Register("i-1/2");
+  Register("i-1/1");
+  EXPECT_EQ(executor_->status().life, "i-1/2");
+}
+
 // A runner went down 10 ms after a task began, and was back as another life
 // 3.2 s later. Before that registered, a start for the earlier life reached it
 // and was turned away; the executor took this for a sign of the life that was
