Ask a runner that said it ends whether it has, before its work is let go

What callers would see: a task at work in two places. The word of a runner that it ends names its id alone. One that a cut has held up, of an earlier start, was taken for the present start's: after 0.6 s all that runs there was let go and begun elsewhere, while it ran on.

After the same pause the executor looks at the runner: if nobody answers, or another life does, it is gone; if it answers, the word was not its own, and a draining one is asked again later. So a runner that takes longer than 0.6 s to end keeps its work until then, too.

Evidence: LateLeaveOfAnEarlierStartDoesNotEndTheNext, red before (an empty inventory 0.6 s after the word).

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -141,6 +141,7 @@
         earlier_lives_.end());
     ResetLife();
     leaving_since_.reset();
+    leave_asked_at_.reset();
     another_answers_ = false;
     runner_is_gone_ = false;
     inventory_wanted_ = true;
@@ -223,8 +224,31 @@
   lease_end_ = std::max(lease_end_, renew.echoed_stamp + renew.term);
 }
 
-void Executor::ForgetLeftRunner(TimePoint now) {
+void Executor::AskLeavingRunner(TimePoint now) {
   if (!leaving_since_ || now - *leaving_since_ < options_.leave_pause) return;
+  if (epoch_ == 0) {  // Nobody has asked for anything, and no look can be made.
+    ForgetLeftRunner();
+    return;
+  }
+  if (leave_asked_at_) return;
+  if (LookSoon()) leave_asked_at_ = now;
+}
+
+void Executor::OnLeaveAnswered(RunnerVerdict verdict, TimePoint sent_at) {
+  if (!leave_asked_at_ || sent_at < *leave_asked_at_) return;
+  leave_asked_at_.reset();
+  if (verdict == RunnerVerdict::kUnreachable ||
+      verdict == RunnerVerdict::kOtherLife ||
+      verdict == RunnerVerdict::kNoAnswer) {
+    ForgetLeftRunner();
+    return;
+  }
+  hooks_.log("runner_stays", "", status_.life + " answers though it has left");
+  leaving_since_.reset();
+  if (status_.draining) leaving_since_ = hooks_.now();
+}
+
+void Executor::ForgetLeftRunner() {
   KeepPastLife();
   leaving_since_.reset();
   ResetLife();
@@ -254,7 +278,7 @@
 
 void Executor::Tick() {
   const TimePoint now = hooks_.now();
-  ForgetLeftRunner(now);
+  AskLeavingRunner(now);
   ForgetPastLives(now);
   GiveUpSilentRunner(now);
   SendHeartbeat(now);
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -46,7 +46,8 @@
   // For how long a serving task may be over its target through fillers until
   // users count it as harmed.
   Duration harm_after = kUsualHarmAfter;
-  // After a runner says that it leaves, its tasks may live on for so long.
+  // After a runner says that it ends, its tasks may live on for so long. Then
+  // it is asked whether it has.
   Duration leave_pause = std::chrono::milliseconds(600);
 };
 
@@ -163,8 +164,12 @@
   // lease or a reading of that clock.
   std::optional<RunnerClock> LeaseEndForRunner() const;
   void SendToOwner(const DispatchMessage& message);
-  // Some time after a runner said that it leaves.
-  void ForgetLeftRunner(TimePoint now);
+  // Some time after a runner said that it ends: asks whether it has.
+  void AskLeavingRunner(TimePoint now);
+  // What a look shows of that. The word may have been that of an earlier start
+  // of the runner, held up on its way.
+  void OnLeaveAnswered(RunnerVerdict verdict, TimePoint sent_at);
+  void ForgetLeftRunner();
   // Tells the owner that nothing runs, once every lease is over.
   void GiveUpSilentRunner(TimePoint now);
   void SendHeartbeat(TimePoint now);
@@ -202,7 +207,8 @@
   void OnSettled(const EndsSettled& settled);
   // Asks the runner what it holds; it may wait so long for an end.
   void Look(std::chrono::milliseconds wait);
-  void LookSoon();
+  // Looks at once, unless too many looks are open; returns whether it does.
+  bool LookSoon();
   void LookIfDue(TimePoint now);
   std::chrono::milliseconds NextWait() const;
   void OnView(RunnerView view, TimePoint sent_at, uint64_t epoch,
@@ -270,6 +276,7 @@
   // last.
   bool another_answers_ = false;
   std::optional<TimePoint> leaving_since_;
+  std::optional<TimePoint> leave_asked_at_;
   bool runner_is_gone_ = false;
   RunnerClock clock_{};  // The runner's reading at `clock_at_`.
   TimePoint clock_at_{};
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -37,12 +37,13 @@
   return paced ? kPacedWait : kQuietWait;
 }
 
-void Executor::LookSoon() {
+bool Executor::LookSoon() {
   if (looks_open_ < kMaxLooksOpen) {
     Look(milliseconds(0));
-  } else {
-    next_look_ = hooks_.now();
+    return true;
   }
+  next_look_ = hooks_.now();
+  return false;
 }
 
 void Executor::LookIfDue(TimePoint now) {
@@ -75,6 +76,10 @@
     next_look_ = now;
     return;
   }
+  if (leave_asked_at_) {
+    OnLeaveAnswered(view.reply.verdict, sent_at);
+    if (runner_is_gone_) return;
+  }
   if (view.reply.verdict != RunnerVerdict::kDone) {
     next_look_ = now + kLostPause;
     if (view.reply.verdict == RunnerVerdict::kFenced) {
--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -41,6 +41,16 @@
     for (auto& [call, done] : std::exchange(looks_, {})) done(view);
   }
 
+  // The runner answers all looks for so long.
+  void PassAnswered(Duration time) {
+    for (Duration passed{}; passed < time; passed += milliseconds(100)) {
+      Pass(milliseconds(100));
+      for (size_t open = looks_.size(); open > 0; --open) {
+        AnswerLook({{Run(0), 50, 0}});
+      }
+    }
+  }
+
   // The line about the loss of a runner that first says that it leaves, or not.
   std::string LossAfter(const std::function<void()>& last_word) {
     Register("life-1");
@@ -143,6 +153,39 @@
               testing::ElementsAre(Run(1)));
 }
 
+// Its word that it ends names no start, and may have been held up on its way.
+TEST_F(ExecutorLossesTest, LateLeaveOfAnEarlierStartDoesNotEndTheNext) {
+  Register("i-1/1");
+  Register("i-1/2");
+  Attach(1);
+  StartAnswered(Run(0), RunnerVerdict::kDone);
+  sent_.clear();
+  executor_->OnRunnerLeft("i-1/2");
+  PassAnswered(seconds(3));
+  EXPECT_THAT(Sent<VmInventory>(), IsEmpty());
+  EXPECT_EQ(executor_->status().life, "i-1/2");
+  StartAnswered(Run(1), RunnerVerdict::kDone);
+}
+
+// It says that it ends, and takes its time.
+TEST_F(ExecutorLossesTest, LeavingRunnerIsForgottenOnceItNoLongerAnswers) {
+  VmStatus status;
+  status.life = "i-1/1";
+  status.draining = true;
+  executor_->OnRunner(status, RunnerClock(1000));
+  Attach(1);
+  sent_.clear();
+  executor_->OnRunnerLeft("i-1/1");
+  PassAnswered(seconds(2));
+  EXPECT_THAT(Sent<VmInventory>(), IsEmpty());
+  for (int i = 0; i < 10; ++i) {
+    EndLooks(RunnerVerdict::kUnreachable);
+    Pass(milliseconds(100));
+  }
+  EXPECT_THAT(Sent<VmInventory>(), SizeIs(1));
+  EXPECT_TRUE(executor_->runner_is_gone());
+}
+
 // An executor that has just started can't know which of two came late.
 TEST_F(ExecutorLossesTest, LateRegistrationDoesNotKeepOutTheLifeThatAnswers) {
   Register("i-1/2");
