Own interface: attach anew under another number after a worker has started again

What callers would see: a task at work past its lease, beside its next attempt. A worker that starts again refuses calls until the agent attaches anew, but the agent did so under the number that it had: a renewal on its way since before, with a lease end by the clock of the start before, passed for one of the new attachment.

Each attachment has a number of its own now, and the worker refuses the others.

Evidence: RenewalForTheStartBeforeIsRefusedByTheNext, red before (renewed once, by the old clock).

--- a/beamhill/platform/http_worker.cc
+++ b/beamhill/platform/http_worker.cc
@@ -79,6 +79,14 @@
          });
   }
 
+  // The worker has started again, or obeys another agent. What is still on its
+  // way was meant for before, and must not pass for a call of the next
+  // attachment: its lease ends are by another clock.
+  void Detach() {
+    if (attached) ++agent;
+    attached = false;
+  }
+
   static WorkerStartAnswer ParseStart(const HttpOutcome& outcome,
                                       std::string* reason) {
     if (outcome.delivery != HttpDelivery::kAnswered) {
@@ -143,7 +151,7 @@
       [this, sent_at, done = std::move(done)](const HttpOutcome& outcome) {
         if (outcome.delivery != HttpDelivery::kAnswered ||
             outcome.response.status != 200) {
-          if (outcome.response.status == 409) impl_->attached = false;
+          if (outcome.response.status == 409) impl_->Detach();
           return done(Error{ErrorCode::kUnavailable,
                             "the worker did not answer", "wait"},
                       sent_at);
