Give a start that meets another life back to its owner at once

It has begun on neither life: nobody there was meant. The owner kept the run held until the next life registered, up to a second later, and the executor counted it among what may have taken the earlier life down, so that its task waited for a trial. With connections that are asked who is there such starts are more frequent: all that come between a restart and its registration.

Evidence: StartThatMeetsAnotherLifeIsGivenBackAtOnce, red before (no report).

--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -199,6 +199,18 @@
   EXPECT_EQ(executor_->status().life, "i-1/2");
 }
 
+// It has begun on neither life, and need not wait for the next registration.
+TEST_F(ExecutorLossesTest, StartThatMeetsAnotherLifeIsGivenBackAtOnce) {
+  Register("i-1/1");
+  Attach(1);
+  StartAnswered(Run(0), RunnerVerdict::kOtherLife);
+  ASSERT_THAT(Sent<RunReports>(), SizeIs(1));
+  EXPECT_EQ(Sent<RunReports>()[0].not_begun[0].reason,
+            NotBegunReason::kUnreachable);
+  Register("i-1/2");
+  EXPECT_THAT(logged_["runner_lost"][0], HasSubstr("begun: none"));
+}
+
 // A runner went down 10 ms after a task began, and was back as another life
 // 3.2 s later. Before that registered, a start for the earlier life reached it
 // and was turned away; the executor took this for a sign of the life that was
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -24,6 +24,7 @@
     case RunnerVerdict::kNotAllowed:
       return NotBegunReason::kNotAllowed;
     case RunnerVerdict::kUnreachable:
+    case RunnerVerdict::kOtherLife:  // Nobody is there who was meant.
       return NotBegunReason::kUnreachable;
     default:
       return NotBegunReason::kUnhealthy;
@@ -144,10 +145,6 @@
       order.since = hooks_.now();
       LookSoon();
       return;
-    case RunnerVerdict::kOtherLife:
-      // The next registration tells which; its inventory settles the rest.
-      orders_.erase(it);
-      return;
     default:
       ++counts_.refused;
       NotBegun(run, ReasonOf(reply.verdict));
