Let a runner's next life take work as soon as its inventory is in

A VM whose runner nobody answers for gets nothing for 1.5 s, 'or until its next life registers'. The second half was never done: the pause went on into the next life. It has its own inventory and room, so the pause ends with it.

--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -175,6 +175,7 @@
                status.life.empty() ? "runner gone" : "runner replaced", now);
     }
     vm.trial.reset();
+    vm.not_before = TimePoint{};
     vm.processed = 0;
     vm.settled = 0;
   }
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -169,6 +169,23 @@
   EXPECT_THAT(Tick().starts, SizeIs(1));
 }
 
+// It was kept from work since nobody answered where the life before was.
+TEST_F(DispatcherTest, NextLifeOfARunnerTakesWorkAtOnce) {
+  Take({});
+  Link("vm-1");
+  dispatcher_->AddWorkflow(OneStep("a", 1, 2), std::nullopt, now_);
+  const RunRef run = Tick().starts[0].second;
+  dispatcher_->OnReports(
+      "vm-1",
+      {2, StatusOf("vm-1").life, {}, {{run, NotBegunReason::kUnreachable}}, {}},
+      now_);
+  Pass(milliseconds(250), {"vm-1"});
+  EXPECT_THAT(Take().starts, IsEmpty());
+  lives_["vm-1"] = "vm-1-life-2";
+  Answer("vm-1");
+  EXPECT_THAT(Tick().starts, SizeIs(1));
+}
+
 TEST_F(DispatcherTest, SilentVmsWorkStartsElsewhereOnlyAfterItsLease) {
   Take({});
   Link("vm-1");
