--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -151,9 +151,8 @@
   }
 };
 
-// For so long after its start a run may be what takes its runner down. The
-// tasks on record did so within 10 ms; the rest is for starts that are slow to
-// take effect. Each tenth more names a tenth more bystanders.
+// For so long after its start a run may be what takes its runner down; most of
+// it is for starts that are slow to take effect.
 inline constexpr Duration kCrashWindow = std::chrono::seconds(1);
 
 // A life of a runner that is over, as its executor last saw it.
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -36,8 +36,7 @@
 }
 
 // Whether the runner has spoken, in the life that was meant. An answer of a
-// later one is no sign of it: with that a task which takes its runners down was
-// counted for three of the six that it took.
+// later one is no sign of it.
 bool Spoke(RunnerVerdict verdict) {
   return verdict != RunnerVerdict::kNoAnswer &&
          verdict != RunnerVerdict::kUnreachable &&
@@ -83,9 +82,7 @@
 
 // A stop withdraws a start that waits, a later owner or life of the runner
 // clears the lane; what is left to ask as it leaves is time, and whether its
-// runner leaves. Without that cancelled tasks began seconds after their callers
-// were told, 4 to 58 in 23 of 24 runs of 11 VMs whose runners left a third of
-// their calls unanswered.
+// runner leaves.
 bool Executor::SendStart(const RunRef& run, const PendingStart& start) {
   const TimePoint now = hooks_.now();
   const std::optional<RunnerClock> lease_end = LeaseEndForRunner();
--- a/beamhill/executor/life_record.h
+++ b/beamhill/executor/life_record.h
@@ -29,9 +29,8 @@
   // The runner has answered a call that was sent then, so what was asked of it
   // kCrashWindow before that has not taken it down.
   void OnAnswered(TimePoint sent_at);
-  // The same, with all that runs there and all ends that are not settled. Views
-  // come some times a second and are kept as they are: a copy of each was a
-  // cost that pacing felt.
+  // The same, with all that runs there and all ends that are not settled. The
+  // view is kept as it is, not copied: several come each second.
   void OnView(RunnerView view, TimePoint sent_at);
 
   // `announced`: the runner had said that it leaves.
--- a/beamhill/executor/task_runner.h
+++ b/beamhill/executor/task_runner.h
@@ -86,9 +86,7 @@
 
 // How many calls of each kind may be open at a time. An executor keeps the
 // others back, where they can still be withdrawn; so no kind holds up another.
-// A rest is ordered of all fillers at once: where a tenth of the paces gets no
-// answer for 0.5 s, 3 at a time left a serving task over its target for up to
-// 6 s, 6 and more for less than 4 s (a replay of 60 s, 12 seeds).
+// Paces get most, since a rest is ordered of all fillers of a VM at once.
 struct RunnerLimits {
   size_t starts = 3;
   size_t stops = 4;
