--- a/beamhill/dispatch/dispatch_crashes.cc
+++ b/beamhill/dispatch/dispatch_crashes.cc
@@ -13,6 +13,8 @@
 namespace beamhill {
 namespace {
 
+using dispatch_internal::Vm;
+
 // How long an order and the report of its start may be on their way, so that
 // windows counted here and at the executor agree.
 constexpr Duration kTrialMargin = std::chrono::milliseconds(200);
@@ -47,6 +49,23 @@
   return task.away_since.value_or(job.added_at);
 }
 
+// Whether its runner was lost of late: it may be again, for reasons of its
+// own.
+bool IsUnstable(const Vm& vm, TimePoint now) {
+  return vm.lost_at && now - *vm.lost_at < kUnstableFor;
+}
+
+// What a trial there might cost; lower is better.
+double TrialCost(const Vm& vm, const WorkflowStep& step, TimePoint now) {
+  double cost =
+      static_cast<double>(vm.used.cpu_millis + vm.filling_cpu) / kMillisOfCore;
+  if (IsUnstable(vm, now)) cost += kUnstableCost;
+  if (!step.near_rack.empty() && vm.status.rack != step.near_rack) {
+    cost += kFarFromDataCost;
+  }
+  return cost;
+}
+
 }  // namespace
 
 void Dispatcher::NoteLostRunner(const std::string& name, Vm& vm,
@@ -119,21 +138,6 @@
   return vm.trial && now < vm.trial->ends;
 }
 
-bool Dispatcher::IsUnstable(const Vm& vm, TimePoint now) {
-  return vm.lost_at && now - *vm.lost_at < kUnstableFor;
-}
-
-double Dispatcher::TrialCost(const Vm& vm, const WorkflowStep& step,
-                             TimePoint now) {
-  double cost =
-      static_cast<double>(vm.used.cpu_millis + vm.filling_cpu) / kMillisOfCore;
-  if (IsUnstable(vm, now)) cost += kUnstableCost;
-  if (!step.near_rack.empty() && vm.status.rack != step.near_rack) {
-    cost += kFarFromDataCost;
-  }
-  return cost;
-}
-
 void Dispatcher::OpenTrial(const Job& job, const WorkflowStep& step,
                            const WorkflowProgress::OpenStep& open,
                            const WorkflowProgress::Task& task, TimePoint now) {
--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -12,6 +12,9 @@
 namespace beamhill {
 namespace {
 
+using dispatch_internal::FillerQueue;
+using dispatch_internal::Vm;
+
 // A filler that is held below this pace for so long is moved to a VM where it
 // is expected to disturb nothing, if there is one. A move costs the stop, the
 // start and the restoring of a checkpoint, some 0.3 s in all.
@@ -47,9 +50,14 @@
 // is free.
 constexpr double kKeptGoingPart = 0.6;
 
-}  // namespace
+// The pace of an image's tasks as last reported, in percent.
+int32_t PaceOf(const Vm& vm, const std::string& image) {
+  const auto it = vm.paces.find(image);
+  return it == vm.paces.end() ? kWholePace : it->second;
+}
 
-const Dispatcher::FillerQueue& Dispatcher::FillerQueueOf(const Vm& vm) {
+// What the fillers of the VM may use, worked out where it is not known.
+const FillerQueue& FillerQueueOf(const Vm& vm) {
   FillerQueue& queue = vm.filler_queue;
   if (queue.known) return queue;
   queue.known = true;
@@ -66,6 +74,21 @@
   return queue;
 }
 
+// Whether a run of that size leaves memory to what is still in time.
+bool LeavesRoomForOthers(const Vm& vm, const Resources& amount) {
+  const Resources after = vm.used + amount;
+  const Resources& whole = vm.status.capacity;
+  const auto within = [](int64_t used, int64_t all) {
+    return static_cast<double>(used) <=
+           kKeptGoingPart * static_cast<double>(all);
+  };
+  return within(after.memory_mib, whole.memory_mib) &&
+         (amount.accelerators == 0 ||
+          within(after.accelerators, whole.accelerators));
+}
+
+}  // namespace
+
 void Dispatcher::ForgetDerived(Vm& vm) {
   vm.filler_queue.known = false;
   vm.ratios.clear();
@@ -80,27 +103,10 @@
   return FreeCores(vm) * kMillisOfCore - filling;
 }
 
-int32_t Dispatcher::PaceOf(const Vm& vm, const std::string& image) {
-  const auto it = vm.paces.find(image);
-  return it == vm.paces.end() ? kWholePace : it->second;
-}
-
 bool Dispatcher::NeedsARun(const Job& job) {
   return job.kept_going && job.held_runs == 0;
 }
 
-bool Dispatcher::LeavesRoomForOthers(const Vm& vm, const Resources& amount) {
-  const Resources after = vm.used + amount;
-  const Resources& whole = vm.status.capacity;
-  const auto within = [](int64_t used, int64_t all) {
-    return static_cast<double>(used) <=
-           kKeptGoingPart * static_cast<double>(all);
-  };
-  return within(after.memory_mib, whole.memory_mib) &&
-         (amount.accelerators == 0 ||
-          within(after.accelerators, whole.accelerators));
-}
-
 bool Dispatcher::HasRoomToFill(const Vm& vm, const Job& job,
                                const WorkflowStep& filler) const {
   if (NeedsARun(job) && LeavesRoomForOthers(vm, filler.each)) return true;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -151,7 +151,6 @@
   using Job = dispatch_internal::Job;
   using HeldRun = dispatch_internal::HeldRun;
   using ServingImage = dispatch_internal::ServingImage;
-  using FillerQueue = dispatch_internal::FillerQueue;
   using KnownRatio = dispatch_internal::KnownRatio;
   using Vm = dispatch_internal::Vm;
   using LastingWait = dispatch_internal::LastingWait;
@@ -270,20 +269,16 @@
   // thousandths of a core. They go to fillers in their order; those before it
   // count by what their pace lets them use.
   double FreeCpuFor(const Vm& vm, double yield_order) const;
-  static const FillerQueue& FillerQueueOf(const Vm& vm);
   // What a VM's runs are, or the paces of its fillers, has changed.
   static void ForgetDerived(Vm& vm);
   // Whether the workflow is to be kept going and has nothing at work, so that
   // it gets a run even in a harmful or a full place.
   static bool NeedsARun(const Job& job);
-  static bool LeavesRoomForOthers(const Vm& vm, const Resources& amount);
   // Whether the processor time that is left over on the VM is enough for the
   // filler, and whether it is expected to be let work. The first run of a
   // workflow that has waited for long needs neither.
   bool HasRoomToFill(const Vm& vm, const Job& job,
                      const WorkflowStep& filler) const;
-  // The pace of an image's tasks as last reported, in percent.
-  static int32_t PaceOf(const Vm& vm, const std::string& image);
   // The fillers that have got next to nothing for a while, the first in their
   // order first.
   std::vector<RunRef> StarvedRuns(Vm& vm, TimePoint now);
@@ -378,13 +373,7 @@
   // Until a start of that moment can no longer take the runner down, nothing of
   // other workflows is started there.
   static void BeginTrial(Vm& vm, const std::string& workflow, TimePoint begins);
-  // Whether its runner was lost of late: it may be again, for reasons of its
-  // own.
-  static bool IsUnstable(const Vm& vm, TimePoint now);
   static bool IsOnTrial(const Vm& vm, TimePoint now);
-  // What a trial there might cost; lower is better.
-  static double TrialCost(const Vm& vm, const WorkflowStep& step,
-                          TimePoint now);
 
   // In dispatch_placement.cc.
   void StartWaiting(TimePoint now, UnixMillis unix_now);
