Tests: the work owner's fixture in a header, with a clock and answers to hold back

So that tests in another file can let the owner's authority run out and hold back answers of the table. The tests that were there are unchanged.

--- a/beamhill/scheduler/work_owner_test.cc
+++ b/beamhill/scheduler/work_owner_test.cc
@@ -5,7 +5,7 @@
 
 #include "beamhill/config/config.h"
 #include "beamhill/link/link.h"
-#include "beamhill/testing/faulty_table.h"
+#include "beamhill/scheduler/work_owner_test_base.h"
 
 namespace beamhill {
 namespace {
@@ -13,9 +13,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// How long a test waits for what it expects before it fails.
-constexpr Duration kPatience = seconds(5);
-
 // An executor whose runner holds work that the owner has never heard of.
 class VmWithUnknownWork {
  public:
@@ -124,60 +121,6 @@
   Timer ends_;
 };
 
-class WorkOwnerTest : public testing::Test {
- protected:
-  WorkOwnerTest() {
-    deliver_ = loop_->Every(milliseconds(1), [this] { table_.Deliver(); });
-    OwnershipKeeperHooks hooks;
-    hooks.now = [] { return BootClock::now(); };
-    hooks.random = [] { return 0.5; };
-    hooks.claim_delay = [] { return Duration(0); };
-    hooks.on_follow = [](const OwnerRecord&) {};
-    hooks.on_taken = [this](uint64_t epoch, bool, bool) { Own(epoch); };
-    hooks.on_lost = [] {};
-    hooks.log = [](const std::string&, const std::string&) {};
-    OwnershipKeeperOptions options;
-    options.name = "owner";
-    options.incarnation = 1;
-    keeper_ = std::make_unique<OwnershipKeeper>(options, table_.AsTable(),
-                                                std::move(hooks));
-    tick_ = loop_->Every(milliseconds(20), [this] { keeper_->Tick(); });
-  }
-
-  void Own(uint64_t epoch) {
-    WorkOwnerOptions options = options_;
-    options.epoch = epoch;
-    owner_ = std::make_unique<WorkOwner>(
-        *loop_, table_.AsTable(), *keeper_, options,
-        [](const AdviceRequest&, auto done) { done(std::nullopt); },
-        [this]() -> const Evacuations& { return evacuations_; },
-        WorkOwnerMetrics{&metrics_.AddLatency("commit", ""),
-                         &metrics_.AddCounter("starts", "")});
-  }
-
-  // Runs the loop until the condition holds; false if it never does.
-  bool RunUntil(const std::function<bool()>& condition) {
-    bool held = false;
-    const Timer check = loop_->Every(milliseconds(5), [&] {
-      held = condition();
-      if (held) loop_->Stop();
-    });
-    const Timer give_up = loop_->After(kPatience, [this] { loop_->Stop(); });
-    loop_->Run();
-    return held;
-  }
-
-  std::unique_ptr<EventLoop> loop_ = std::move(ValueOf(EventLoop::Create()));
-  FaultyTable table_;
-  Evacuations evacuations_{true, 0, {}};
-  WorkOwnerOptions options_;
-  Metrics metrics_;
-  std::unique_ptr<OwnershipKeeper> keeper_;
-  std::unique_ptr<WorkOwner> owner_;
-  Timer deliver_;
-  Timer tick_;
-};
-
 // The notice of a cancellation may be lost, and the runner of the last order
 // may hang; users allow 3 s until nothing of the workflow is started any more.
 TEST_F(WorkOwnerTest, OrderIsOverInTimeForACancellationThatOnlyTheTableTells) {
