Show work that outlives its workflow, messages that an owner throws away, and stops that drag

No logic changes: - owner: work_orphaned (runs held by VMs of a workflow that is over for more than 3 s, with its age), a metric of the oldest, messages_unsent by kind with a counter, authority_over and authority_back; - executor: stop_overdue with the phase that the stop is in, the age of the oldest one and counters of stops.

--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -84,6 +84,10 @@
   }
 };
 
+// Users allow so long from the cancellation of a workflow until nothing of it
+// runs.
+inline constexpr Duration kCancelLimit = std::chrono::seconds(3);
+
 // Owner to executor: stop these runs, or make sure that they never begin.
 struct StopRuns {
   uint64_t epoch = 0;
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -60,6 +60,28 @@
   return summary;
 }
 
+std::vector<OrphanedWork> Dispatcher::Orphans(TimePoint now) const {
+  std::vector<OrphanedWork> orphans;
+  for (const auto& [id, job] : jobs_) {
+    if (!job->over_at || job->held_runs == 0) continue;
+    orphans.push_back(
+        {id, job->held_runs, VmThatHolds(id), now - *job->over_at});
+  }
+  std::sort(orphans.begin(), orphans.end(),
+            [](const auto& a, const auto& b) { return a.age > b.age; });
+  return orphans;
+}
+
+std::string Dispatcher::VmThatHolds(const std::string& workflow) const {
+  const auto it =
+      std::find_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
+        const auto& held = entry.second.held;
+        const auto run = held.lower_bound({{workflow, 0, 0, 0}, 0});
+        return run != held.end() && run->first.task.workflow == workflow;
+      });
+  return it == vms_.end() ? "" : it->first;
+}
+
 std::string Dispatcher::Dump(TimePoint now) const {
   std::ostringstream out;
   out << "epoch " << options_.epoch << " workflows " << jobs_.size()
--- a/beamhill/dispatch/dispatch_types.h
+++ b/beamhill/dispatch/dispatch_types.h
@@ -59,6 +59,14 @@
   uint64_t given_up = 0;  // Workflows with one that did, under this owner.
 };
 
+// A workflow that is over and of which VMs hold runs all the same.
+struct OrphanedWork {
+  std::string workflow;
+  size_t runs = 0;
+  std::string vm;  // One that holds some.
+  Duration age{};  // Since the workflow was over.
+};
+
 struct VmMessage {
   std::string vm;
   DispatchMessage message;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -142,6 +142,8 @@
   const DispatchCounts& counts() const { return counts_; }
   size_t workflows() const { return jobs_.size(); }
   DispatchSummary Summary() const;
+  // What VMs hold of workflows that are over, the oldest first.
+  std::vector<OrphanedWork> Orphans(TimePoint now) const;
   // One line for each VM and each workflow that is not over.
   std::string Dump(TimePoint now) const;
 
@@ -170,6 +172,8 @@
   // To be stored with the next commit.
   void MarkDirty(Job& job);
   void Send(const std::string& vm, DispatchMessage message);
+  // The name of one such VM; empty when there is none.
+  std::string VmThatHolds(const std::string& workflow) const;
   // Whether its tasks may be started: it is stored under this epoch, and what
   // an earlier owner may have started of it is known.
   bool MayStart(const Job& job) const;
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -284,6 +284,7 @@
   SendHeartbeat(now);
   DropOutdatedStarts(now);
   RetryStops(now);
+  LogOverdueStops(now);
   LookIfDue(now);
 }
 
@@ -294,9 +295,9 @@
       << ToMillis(lease_end_ - hooks_.now()) << " orders " << orders_.size()
       << " starts_waiting " << start_lane_.waiting() << " for_ms "
       << ToMillis(start_lane_.OldestWait(hooks_.now())) << " stops_waiting "
-      << stop_lane_.waiting() << " paces_waiting " << pace_lane_.waiting()
-      << " paced " << paced_.size() << " settled " << settled_ << " listed "
-      << highest_listed_ << "\n";
+      << stop_lane_.waiting() << " oldest_stop_ms " << ToMillis(OldestStop())
+      << " paces_waiting " << pace_lane_.waiting() << " paced " << paced_.size()
+      << " settled " << settled_ << " listed " << highest_listed_ << "\n";
   return out.str();
 }
 
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -70,6 +70,8 @@
   uint64_t withdrawn = 0;  // Starts that never left, for a stop came first.
   uint64_t outdated = 0;   // Starts that could not leave in time.
   uint64_t runners_lost = 0;
+  uint64_t stops = 0;          // Stops asked of the runner.
+  uint64_t stops_overdue = 0;  // Ordered stops that took too long.
 };
 
 class Executor {
@@ -100,6 +102,9 @@
   const VmStatus& status() const { return status_; }
   // Starts that wait for their turn at the runner.
   size_t starts_waiting() const { return start_lane_.waiting(); }
+  // Since when the oldest stop that an owner has ordered is not settled; zero
+  // without any.
+  Duration OldestStop() const;
   std::string Dump() const;
 
  private:
@@ -117,6 +122,8 @@
     bool stop_pending = false;
     bool report_begin = false;
     TimePoint retry_at{};
+    std::optional<TimePoint> stop_ordered_at;
+    bool overdue = false;  // The stop, and this is logged.
   };
   // What is kept of a call while it waits; the rest is added as it leaves.
   struct PendingStart {
@@ -191,6 +198,7 @@
   void QueueStop(const RunRef& run, Order& order);
   void SendStops();
   void RetryStops(TimePoint now);
+  void LogOverdueStops(TimePoint now);
   void OnStopReply(const RunRef& run, const RunnerReply& reply);
   Caller PresentCaller() const { return {epoch_, status_.life}; }
   bool IsPresent(const Caller& caller) const {
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -1,5 +1,6 @@
 // The part of Executor that carries out an owner's starts and stops, and finds
 // out what became of calls without an answer.
+#include <algorithm>
 #include <set>
 #include <string>
 #include <utility>
@@ -179,6 +180,7 @@
     return;
   }
   Order& order = orders_[run];
+  if (!order.stop_ordered_at) order.stop_ordered_at = hooks_.now();
   if (order.phase == Phase::kStopping || order.phase == Phase::kStopped) return;
   order.phase = Phase::kStopping;
   order.since = hooks_.now();
@@ -194,6 +196,7 @@
 
 void Executor::SendStops() {
   while (const auto next = stop_lane_.TakeNext()) {
+    ++counts_.stops;
     runner_.stop({status_.life, epoch_, next->run},
                  lifetime_.Guard([this, run = next->run,
                                   caller = PresentCaller()](RunnerReply reply) {
@@ -214,6 +217,30 @@
   SendStops();
 }
 
+void Executor::LogOverdueStops(TimePoint now) {
+  for (auto& [run, order] : orders_) {
+    if (!order.stop_ordered_at || order.overdue) continue;
+    const Duration age = now - *order.stop_ordered_at;
+    if (age < kCancelLimit) continue;
+    order.overdue = true;
+    ++counts_.stops_overdue;
+    hooks_.log("stop_overdue", run.task.ToString(),
+               "run " + std::to_string(run.run) + ": ordered " +
+                   MillisText(age) + " ms ago, " +
+                   (order.phase == Phase::kStopped ? "the runner took it"
+                                                   : "not taken"));
+  }
+}
+
+Duration Executor::OldestStop() const {
+  const TimePoint now = hooks_.now();
+  TimePoint first = now;
+  for (const auto& [run, order] : orders_) {
+    first = std::min(first, order.stop_ordered_at.value_or(now));
+  }
+  return now - first;
+}
+
 void Executor::OnStopReply(const RunRef& run, const RunnerReply& reply) {
   NoteClock(reply.clock);
   const auto it = orders_.find(run);
--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -80,6 +80,14 @@
       "beamhill_starts_waiting",
       "Starts that wait for their turn at the runner.",
       [executor] { return static_cast<double>(executor->starts_waiting()); });
+  gauge("beamhill_stops_total", "Stops asked of the runner.",
+        &ExecutorCounts::stops);
+  gauge("beamhill_stops_overdue_total", "Ordered stops that took too long.",
+        &ExecutorCounts::stops_overdue);
+  metrics.AddGauge("beamhill_oldest_stop_seconds",
+                   "Since when an ordered stop is not settled.", [executor] {
+                     return ToMillis(executor->OldestStop()) / 1000;
+                   });
   gauge("beamhill_runners_lost_total",
         "Lives of the runner that ended unannounced.",
         &ExecutorCounts::runners_lost);
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -19,6 +19,8 @@
 constexpr Duration kCommitRetry = std::chrono::milliseconds(150);
 // Pairs of images in a log line: below 4 KiB with the users' names.
 constexpr size_t kPairsOfLine = 60;
+// Of one summary.
+constexpr size_t kOrphanLines = 10;
 
 UnixMillis UnixNow() {
   return std::chrono::duration_cast<UnixMillis>(
@@ -185,6 +187,64 @@
        {"suspects", summary.suspects},
        {"given_up", summary.given_up}});
   LogPressureNews();
+  LogOrphans();
+  LogUnsent();
+}
+
+void WorkOwner::LogOrphans() {
+  size_t lines = 0;
+  for (const OrphanedWork& work : dispatcher_->Orphans(BootClock::now())) {
+    if (work.age < kCancelLimit || ++lines > kOrphanLines) return;
+    Log(LogLevel::kWarning, "work_orphaned",
+        {{"request", work.workflow},
+         {"epoch", options_.epoch},
+         {"runs", work.runs},
+         {"vm", work.vm},
+         {"age_ms", ToMillis(work.age)}});
+  }
+}
+
+Duration WorkOwner::OldestOrphan() const {
+  if (!dispatcher_) return Duration(0);
+  const auto orphans = dispatcher_->Orphans(BootClock::now());
+  return orphans.empty() ? Duration(0) : orphans.front().age;
+}
+
+void WorkOwner::NoteAuthority(bool may_act) {
+  if (may_act == has_authority_) return;
+  has_authority_ = may_act;
+  Log(may_act ? LogLevel::kInfo : LogLevel::kWarning,
+      may_act ? "authority_back" : "authority_over",
+      {{"epoch", options_.epoch},
+       {"since_confirmed_ms", ToMillis(keeper_.SinceConfirmed())}});
+}
+
+void WorkOwner::NoteUnsent(const std::vector<VmMessage>& messages) {
+  metrics_.unsent->Add(messages.size());
+  for (const VmMessage& out : messages) {
+    if (std::holds_alternative<StartRuns>(out.message)) {
+      ++unsent_.starts;
+    } else if (std::holds_alternative<StopRuns>(out.message)) {
+      ++unsent_.stops;
+    } else if (std::holds_alternative<EndsSettled>(out.message)) {
+      ++unsent_.settled;
+    } else {
+      ++unsent_.others;
+    }
+  }
+}
+
+void WorkOwner::LogUnsent() {
+  const Unsent unsent = std::exchange(unsent_, {});
+  if (unsent.starts + unsent.stops + unsent.settled + unsent.others == 0) {
+    return;
+  }
+  Log(LogLevel::kWarning, "messages_unsent",
+      {{"epoch", options_.epoch},
+       {"starts", unsent.starts},
+       {"stops", unsent.stops},
+       {"settled", unsent.settled},
+       {"others", unsent.others}});
 }
 
 void WorkOwner::LogPressureNews() {
@@ -291,6 +351,7 @@
 void WorkOwner::Tick() {
   tick_pending_ = false;
   const TimePoint now = BootClock::now();
+  NoteAuthority(keeper_.MayAct());
   dispatcher_->set_may_act(keeper_.MayAct() && !quiet_);
   dispatcher_->OnConfirmed(keeper_.confirmed_at());
   dispatcher_->SetEvacuations(evacuations_());
@@ -316,7 +377,7 @@
 
 void WorkOwner::Flush() {
   if (!keeper_.MayAct()) {
-    dispatcher_->TakeMessages();
+    NoteUnsent(dispatcher_->TakeMessages());
     return;
   }
   for (const VmMessage& out : dispatcher_->TakeMessages()) {
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -54,6 +54,7 @@
 struct WorkOwnerMetrics {
   LatencyHistogram* commit = nullptr;
   Counter* starts = nullptr;
+  Counter* unsent = nullptr;  // Messages to VMs that were thrown away.
 };
 
 class WorkOwner {
@@ -79,6 +80,9 @@
   // What ends later is reported again to the next owner.
   void Quiesce(std::function<void()> done);
 
+  // Since when the oldest workflow is over of which VMs still hold runs; zero
+  // without any.
+  Duration OldestOrphan() const;
   // Null before it is loaded.
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
   std::string Dump() const;
@@ -122,6 +126,12 @@
   void AskAdvisor();
   void OnCommitted(bool committed, TimePoint sent_at);
   void LogSummary();
+  void LogOrphans();
+  // Logs when the authority of the ownership is over, and when it is back.
+  void NoteAuthority(bool may_act);
+  // Counts messages that are thrown away, for the log.
+  void NoteUnsent(const std::vector<VmMessage>& messages);
+  void LogUnsent();
   void LogPressureNews();
   std::vector<RowWrite> WritesOf(const DispatchCommit& commit);
 
@@ -151,6 +161,15 @@
   TimePoint commit_after_{};
   TimePoint pressure_stored_at_{};
   uint64_t starts_counted_ = 0;
+  bool has_authority_ = true;
+  // Messages that were thrown away since the last log line about them.
+  struct Unsent {
+    uint64_t starts = 0;
+    uint64_t stops = 0;
+    uint64_t settled = 0;
+    uint64_t others = 0;
+  };
+  Unsent unsent_;
   Timer tick_soon_;
   bool tick_pending_ = false;
   Timer tick_;
