--- /dev/null
+++ b/beamhill/scheduler/work_owner_authority_test.cc
@@ -0,0 +1,239 @@
+// What an owner decides while its authority is over, or as it ends. The owner
+// threw such messages away and took them for sent: cancelled work ran on for
+// good, and tasks that had been ordered never started.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "beamhill/config/config.h"
+#include "beamhill/link/link.h"
+#include "beamhill/scheduler/work_owner_test_base.h"
+
+namespace beamhill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Longer than an owner may act without the table.
+constexpr Duration kPastAuthority = seconds(9);
+
+// An executor that shows what it is given and notes what it is told.
+class RecordingVm {
+ public:
+  explicit RecordingVm(EventLoop& loop) {
+    auto listener = LinkListener::Listen(loop, {"127.0.0.1", 0},
+                                         [this](Link&) { return Hooks(); });
+    listener_ = std::move(ValueOf(listener));
+    beat_ = loop.Every(milliseconds(100), [this] {
+      Send(VmHeartbeat{epoch_, BootClock::now()});
+    });
+  }
+
+  RowWrite Row() const {
+    const VmRecord record{"vm",
+                          ToString(Address{"127.0.0.1", listener_->port()})};
+    return {rows::kExecutors + record.vm, kAnyVersion, EncodeRecord(record)};
+  }
+
+  // What the next inventory shows.
+  void Show(std::vector<RunRef> running, std::vector<RunEnd> ended = {}) {
+    running_ = std::move(running);
+    ended_ = std::move(ended);
+  }
+  void SendInventory() {
+    VmInventory inventory;
+    inventory.epoch = epoch_;
+    inventory.status.life = "life";
+    inventory.status.service = "web";
+    inventory.status.capacity = {8000, 16000, 0};
+    inventory.running = running_;
+    inventory.ended = ended_;
+    Send(inventory);
+  }
+  void ReportEnd(const RunEnd& end) {
+    Send(RunReports{epoch_, "life", {end}, {}, {}});
+  }
+
+  bool attached() const { return epoch_ != 0; }
+  const std::set<RunRef>& started() const { return started_; }
+  const std::set<RunRef>& stopped() const { return stopped_; }
+  uint64_t settled() const { return settled_; }
+
+ private:
+  void Send(const DispatchMessage& message) {
+    if (link_ != nullptr) link_->Send(EncodeDispatch(message));
+  }
+
+  LinkHooks Hooks() {
+    LinkHooks hooks;
+    hooks.on_message = [this](Link& link, std::string_view frame) {
+      const auto message = DecodeDispatch(frame);
+      if (IsOk(message)) OnMessage(link, ValueOf(message));
+    };
+    hooks.on_close = [this](Link&) { link_ = nullptr; };
+    return hooks;
+  }
+
+  void OnMessage(Link& link, const DispatchMessage& message) {
+    if (const auto* attach = std::get_if<Attach>(&message)) {
+      link_ = &link;
+      epoch_ = attach->epoch;
+      SendInventory();
+    } else if (const auto* starts = std::get_if<StartRuns>(&message)) {
+      for (const StartRun& start : starts->runs) {
+        started_.insert(
+            {{starts->workflow, starts->round, starts->step, start.index},
+             start.run});
+      }
+    } else if (const auto* stops = std::get_if<StopRuns>(&message)) {
+      stopped_.insert(stops->runs.begin(), stops->runs.end());
+    } else if (const auto* settled = std::get_if<EndsSettled>(&message)) {
+      settled_ = std::max(settled_, settled->through);
+    }
+  }
+
+  std::unique_ptr<LinkListener> listener_;
+  Link* link_ = nullptr;
+  uint64_t epoch_ = 0;
+  std::vector<RunRef> running_;
+  std::vector<RunEnd> ended_;
+  std::set<RunRef> started_;
+  std::set<RunRef> stopped_;
+  uint64_t settled_ = 0;
+  Timer beat_;
+};
+
+class WorkOwnerAuthorityTest : public WorkOwnerTest {
+ protected:
+  static Workflow Job(const std::string& id, bool lasting) {
+    Workflow workflow;
+    workflow.id = id;
+    workflow.queue = "q";
+    workflow.service = "web";
+    workflow.policy.max_attempts = 2;
+    workflow.steps.resize(1);
+    workflow.steps[0].tasks = 1;
+    workflow.steps[0].each = {1000, 1000, 0};
+    workflow.steps[0].declared_run = seconds(1);
+    workflow.steps[0].long_running = lasting;
+    return workflow;
+  }
+
+  void Store(const std::vector<Workflow>& workflows) {
+    Transaction rows;
+    rows.writes.push_back(vm_.Row());
+    for (const Workflow& workflow : workflows) {
+      rows.writes.push_back({rows::kWorkflows + workflow.id, kAnyVersion,
+                             EncodeRecord(workflow)});
+    }
+    table_.model().Commit(rows);
+  }
+
+  // Its authority is over, as after an outage of the table that goes on.
+  void LoseTable() {
+    table_.set_fault(TableFault::kDown);
+    clock_ahead_ = kPastAuthority;
+    ASSERT_TRUE(RunUntil([this] { return !keeper_->MayAct(); }));
+  }
+  void ReturnTable() { table_.set_fault(TableFault::kNone); }
+
+  void Pass(Duration time) {
+    const Timer over = loop_->After(time, [this] { loop_->Stop(); });
+    loop_->Run();
+  }
+
+  RunRef Run(const std::string& workflow, uint64_t run = 1) const {
+    return {{workflow, 0, 0, 0}, run};
+  }
+
+  RecordingVm vm_{*loop_};
+};
+
+TEST_F(WorkOwnerAuthorityTest, WorkThatIsCancelledMeanwhileIsStopped) {
+  Store({Job("w", /*lasting=*/true)});
+  vm_.Show({Run("w")});
+  ASSERT_TRUE(RunUntil([&] {
+    return owner_ && owner_->loaded() &&
+           owner_->dispatcher()->HeldRunsOf("w") == 1;
+  }));
+  LoseTable();
+  owner_->OnCancelStored("w");
+  Pass(milliseconds(100));
+  ReturnTable();
+  EXPECT_TRUE(RunUntil([&] { return vm_.stopped().count(Run("w")) > 0; }));
+}
+
+// A VM shows it when it was out of reach at the cancellation.
+TEST_F(WorkOwnerAuthorityTest,
+       WorkOfACancelledJobThatIsFoundMeanwhileIsStopped) {
+  Store({Job("w", /*lasting=*/true)});
+  ASSERT_TRUE(RunUntil([&] { return vm_.started().size() == 1; }));
+  owner_->OnCancelStored("w");
+  ASSERT_TRUE(RunUntil([&] { return vm_.stopped().size() == 1; }));
+  const RunRef run = *vm_.stopped().begin();
+  vm_.ReportEnd({1, run, RunEndKind::kStopped, ""});
+  ASSERT_TRUE(
+      RunUntil([&] { return owner_->dispatcher()->HeldRunsOf("w") == 0; }));
+  LoseTable();
+  const RunRef found = Run("w", run.run + 1);
+  vm_.Show({found});
+  vm_.SendInventory();
+  Pass(milliseconds(100));
+  ReturnTable();
+  EXPECT_TRUE(RunUntil([&] { return vm_.stopped().count(found) > 0; }));
+}
+
+// The answer to the transaction that makes an end durable comes so late that
+// the authority is over.
+TEST_F(WorkOwnerAuthorityTest, EndThatIsStoredMeanwhileIsSettled) {
+  Store({Job("w", /*lasting=*/false)});
+  vm_.Show({Run("w")});
+  ASSERT_TRUE(RunUntil([&] {
+    return owner_ && owner_->loaded() &&
+           owner_->dispatcher()->HeldRunsOf("w") == 1;
+  }));
+  Pass(milliseconds(300));
+  hold_commits_ = true;
+  vm_.ReportEnd({1, Run("w"), RunEndKind::kDone, ""});
+  ASSERT_TRUE(RunUntil([&] {
+    return table_.model().rows().count(rows::kProgress + std::string("w")) >
+               0 &&
+           !held_answers_.empty();
+  }));
+  LoseTable();
+  AnswerHeldCommits();
+  Pass(milliseconds(100));
+  EXPECT_FALSE(keeper_->MayAct());
+  ReturnTable();
+  EXPECT_TRUE(RunUntil([&] { return vm_.settled() >= 1; }));
+}
+
+// The authority ends between the decision and the sending of a start, which a
+// large deployment makes milliseconds long.
+TEST_F(WorkOwnerAuthorityTest, StartThatIsDecidedAsItEndsIsCarriedOut) {
+  Workflow advised = Job("a", /*lasting=*/false);
+  advised.policy.needs_advice = true;
+  on_advice_asked_ = [this] {
+    table_.set_fault(TableFault::kDown);
+    clock_ahead_ = kPastAuthority;
+  };
+  Store({advised, Job("w", /*lasting=*/false)});
+  ASSERT_TRUE(RunUntil([&] {
+    return owner_ && owner_->loaded() && clock_ahead_ > Duration(0) &&
+           owner_->dispatcher()->HeldRunsOf("w") == 1;
+  }));
+  Pass(milliseconds(100));
+  ReturnTable();
+  EXPECT_TRUE(RunUntil([&] {
+    return std::any_of(
+        vm_.started().begin(), vm_.started().end(),
+        [](const RunRef& run) { return run.task.workflow == "w"; });
+  }));
+}
+
+}  // namespace
+}  // namespace beamhill
