Keep what an owner decides without authority until it is back

Cause: WorkOwner::Flush threw every message away while the owner had no authority, and the Dispatcher had taken it for sent: a run was marked as stopping, an end as settled, a task as started. Nothing sent it again while the link stood. A store that is away for longer than the authority (8 s) and answers a cancellation 0.3 s before the owner's own transaction is all that it takes.

Ruled out: executors that don't carry stops out (no overdue stop anywhere), an owner that cancels other runs than those at work (no change of owner, the runs are held by the one that cancels).

The Dispatcher knows its authority now (none, closing, full) and hands nothing out without any; what is decided by then leaves once it is back. That is safe: authority that is back was never another's, leases count from the stamp that they echo, and a start names the latest moment at which it may be carried out. Attaches and learned weights, which would pile up, are not decided meanwhile; VMs that have not answered are asked as soon as it is back. An owner that closes still sends stops.

NoLeaseAndNoStartWithoutAuthority looked at what leaves while nothing may, which is nothing whatever is decided; it asks what would leave afterwards now, and also of an owner that closes.

--- a/beamhill/dispatch/dispatch_pressure.cc
+++ b/beamhill/dispatch/dispatch_pressure.cc
@@ -86,6 +86,8 @@
 }
 
 void Dispatcher::SendWeights() {
+  // They would be out of date once they leave.
+  if (authority_ == Authority::kNone) return;
   for (auto& [name, vm] : vms_) {
     if (vm.answered) SendWeightsTo(name, vm);
   }
--- a/beamhill/dispatch/dispatch_types.h
+++ b/beamhill/dispatch/dispatch_types.h
@@ -30,6 +30,13 @@
 // within noise on the others.
 inline constexpr Duration kOrderLife = std::chrono::milliseconds(1900);
 
+// What an owner may do by now.
+enum class Authority : uint8_t {
+  kNone,     // Another process may own the work by now: nothing leaves.
+  kClosing,  // It gives the work up: nothing new begins.
+  kFull,
+};
+
 struct DispatcherOptions {
   uint64_t epoch = 1;
   // How long a VM's work may go on after its last heartbeat was answered.
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -157,7 +157,7 @@
   state.linked = true;
   state.answered = false;
   state.leased = false;
-  Send(vm, Attach{"", options_.epoch});
+  SendAttach(vm);
 }
 
 void Dispatcher::OnLinkDown(const std::string& vm) {
@@ -171,19 +171,34 @@
   if (!state.linked || !state.answered) return;
   state.answered = false;
   state.leased = false;
+  SendAttach(vm);
+}
+
+// Without authority they would pile up: each VM that has not answered is asked
+// once it is back.
+void Dispatcher::SendAttach(const std::string& vm) {
+  if (authority_ == Authority::kNone) return;
   Send(vm, Attach{"", options_.epoch});
 }
 
 void Dispatcher::AttachAgain() {
   for (const auto& [name, vm] : vms_) {
-    if (vm.linked && !vm.answered) Send(name, Attach{"", options_.epoch});
+    if (vm.linked && !vm.answered) SendAttach(name);
   }
 }
 
+void Dispatcher::set_authority(Authority authority) {
+  const bool back =
+      authority_ == Authority::kNone && authority != Authority::kNone;
+  authority_ = authority;
+  if (back) AttachAgain();
+}
+
 void Dispatcher::OnHeartbeat(const std::string& vm, const VmHeartbeat& beat,
                              TimePoint now) {
   Vm& state = vms_[vm];
-  if (beat.epoch != options_.epoch || !state.answered || !may_act_) return;
+  if (beat.epoch != options_.epoch || !state.answered) return;
+  if (authority_ != Authority::kFull) return;
   state.leased = true;
   state.stamp = beat.stamp;
   state.stamped_at = now;
@@ -243,7 +258,7 @@
     if (vm.answered) {
       vm.answered = false;
       vm.leased = false;
-      if (vm.linked) Send(name, Attach{"", options_.epoch});
+      if (vm.linked) SendAttach(name);
     }
   }
   if (IsPast(taken_at_ + options_.inherited_bound, now)) {
@@ -253,7 +268,7 @@
 
 void Dispatcher::Tick(TimePoint now, UnixMillis unix_now) {
   ExpireLeases(now);
-  if (may_act_) {
+  if (authority_ == Authority::kFull) {
     RefreshIdle(now);
     RefreshOrder(now, unix_now);
     MoveStarved(now);
@@ -269,6 +284,7 @@
 }
 
 std::vector<VmMessage> Dispatcher::TakeMessages() {
+  if (authority_ == Authority::kNone) return {};
   return std::exchange(outbox_, {});
 }
 
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -111,9 +111,9 @@
   // The data halls in which nothing more is to be started.
   void SetEvacuations(const Evacuations& evacuations);
 
-  // Whether leases may be granted and tasks started; set by the keeper of
-  // the ownership.
-  void set_may_act(bool may_act) { may_act_ = may_act; }
+  // Leases are granted and tasks started with full authority only. Whatever
+  // else is decided without any waits until it is back.
+  void set_authority(Authority authority);
 
   // What was learned of pressure, to be stored; and what an earlier owner
   // stored.
@@ -132,6 +132,7 @@
   // hook some times a second.
   void Tick(TimePoint now, UnixMillis unix_now);
 
+  // Nothing without authority: what is decided by then stays and leaves later.
   std::vector<VmMessage> TakeMessages();
   // At most one is out at a time; nothing when there is nothing to store.
   std::optional<DispatchCommit> TakeCommit(TimePoint now);
@@ -172,6 +173,7 @@
   // To be stored with the next commit.
   void MarkDirty(Job& job);
   void Send(const std::string& vm, DispatchMessage message);
+  void SendAttach(const std::string& vm);
   // The name of one such VM; empty when there is none.
   std::string VmThatHolds(const std::string& workflow) const;
   // Whether its tasks may be started: it is stored under this epoch, and what
@@ -443,7 +445,7 @@
   TimePoint runs_logged_at_{};
   TimePoint taken_at_;
   TimePoint confirmed_at_;
-  bool may_act_ = true;
+  Authority authority_ = Authority::kFull;
   TimePoint moved_at_{};
   TimePoint order_refreshed_at_{};
   TimePoint idle_refreshed_at_{};
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -222,11 +222,15 @@
   Take({});
   Link("vm-1");
   Take();
-  dispatcher_->set_may_act(false);
-  dispatcher_->OnHeartbeat("vm-1", {2, now_}, now_);
   dispatcher_->AddWorkflow(OneStep("a", 1, 2), std::nullopt, now_);
-  dispatcher_->Tick(now_, kUnix);
-  EXPECT_THAT(dispatcher_->TakeMessages(), IsEmpty());
+  for (const Authority lacking : {Authority::kNone, Authority::kClosing}) {
+    dispatcher_->set_authority(lacking);
+    dispatcher_->OnHeartbeat("vm-1", {2, now_}, now_);
+    dispatcher_->Tick(now_, kUnix);
+    // Whatever was decided would leave now.
+    dispatcher_->set_authority(Authority::kClosing);
+    EXPECT_THAT(dispatcher_->TakeMessages(), IsEmpty());
+  }
 }
 
 TEST_F(DispatcherTest, RunMissingFromAnInventoryIsStoppedBeforeItIsFreed) {
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -52,9 +52,6 @@
       "beamhill_commit_latency", "From sending a transaction to its answer.");
   owner_metrics_.starts =
       &metrics.AddCounter("beamhill_starts_total", "Tasks ordered to start.");
-  owner_metrics_.unsent = &metrics.AddCounter(
-      "beamhill_messages_unsent_total",
-      "Messages to VMs that an owner without authority threw away.");
   metrics.AddGauge(
       "beamhill_oldest_orphan_seconds",
       "Since when a workflow is over whose runs VMs still hold.", [this] {
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -188,7 +188,6 @@
        {"given_up", summary.given_up}});
   LogPressureNews();
   LogOrphans();
-  LogUnsent();
 }
 
 void WorkOwner::LogOrphans() {
@@ -210,7 +209,10 @@
   return orphans.empty() ? Duration(0) : orphans.front().age;
 }
 
-void WorkOwner::NoteAuthority(bool may_act) {
+void WorkOwner::RefreshAuthority() {
+  const bool may_act = keeper_.MayAct();
+  const Authority closing = quiet_ ? Authority::kClosing : Authority::kFull;
+  dispatcher_->set_authority(may_act ? closing : Authority::kNone);
   if (may_act == has_authority_) return;
   has_authority_ = may_act;
   Log(may_act ? LogLevel::kInfo : LogLevel::kWarning,
@@ -219,34 +221,6 @@
        {"since_confirmed_ms", ToMillis(keeper_.SinceConfirmed())}});
 }
 
-void WorkOwner::NoteUnsent(const std::vector<VmMessage>& messages) {
-  metrics_.unsent->Add(messages.size());
-  for (const VmMessage& out : messages) {
-    if (std::holds_alternative<StartRuns>(out.message)) {
-      ++unsent_.starts;
-    } else if (std::holds_alternative<StopRuns>(out.message)) {
-      ++unsent_.stops;
-    } else if (std::holds_alternative<EndsSettled>(out.message)) {
-      ++unsent_.settled;
-    } else {
-      ++unsent_.others;
-    }
-  }
-}
-
-void WorkOwner::LogUnsent() {
-  const Unsent unsent = std::exchange(unsent_, {});
-  if (unsent.starts + unsent.stops + unsent.settled + unsent.others == 0) {
-    return;
-  }
-  Log(LogLevel::kWarning, "messages_unsent",
-      {{"epoch", options_.epoch},
-       {"starts", unsent.starts},
-       {"stops", unsent.stops},
-       {"settled", unsent.settled},
-       {"others", unsent.others}});
-}
-
 void WorkOwner::LogPressureNews() {
   std::string pairs;
   for (const PressureWeight& weight : dispatcher_->TakeNews(kPairsOfLine)) {
@@ -351,8 +325,7 @@
 void WorkOwner::Tick() {
   tick_pending_ = false;
   const TimePoint now = BootClock::now();
-  NoteAuthority(keeper_.MayAct());
-  dispatcher_->set_may_act(keeper_.MayAct() && !quiet_);
+  RefreshAuthority();
   dispatcher_->OnConfirmed(keeper_.confirmed_at());
   dispatcher_->SetEvacuations(evacuations_());
   dispatcher_->Tick(now, UnixNow());
@@ -376,10 +349,7 @@
 }
 
 void WorkOwner::Flush() {
-  if (!keeper_.MayAct()) {
-    NoteUnsent(dispatcher_->TakeMessages());
-    return;
-  }
+  RefreshAuthority();
   for (const VmMessage& out : dispatcher_->TakeMessages()) {
     const auto it = vms_.find(out.vm);
     if (it != vms_.end()) it->second.peer->Send(out.message);
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -54,7 +54,6 @@
 struct WorkOwnerMetrics {
   LatencyHistogram* commit = nullptr;
   Counter* starts = nullptr;
-  Counter* unsent = nullptr;  // Messages to VMs that were thrown away.
 };
 
 class WorkOwner {
@@ -127,11 +126,9 @@
   void OnCommitted(bool committed, TimePoint sent_at);
   void LogSummary();
   void LogOrphans();
-  // Logs when the authority of the ownership is over, and when it is back.
-  void NoteAuthority(bool may_act);
-  // Counts messages that are thrown away, for the log.
-  void NoteUnsent(const std::vector<VmMessage>& messages);
-  void LogUnsent();
+  // Tells the Dispatcher what it may do by now, and logs when the authority of
+  // the ownership is over and when it is back.
+  void RefreshAuthority();
   void LogPressureNews();
   std::vector<RowWrite> WritesOf(const DispatchCommit& commit);
 
@@ -162,14 +159,6 @@
   TimePoint pressure_stored_at_{};
   uint64_t starts_counted_ = 0;
   bool has_authority_ = true;
-  // Messages that were thrown away since the last log line about them.
-  struct Unsent {
-    uint64_t starts = 0;
-    uint64_t stops = 0;
-    uint64_t settled = 0;
-    uint64_t others = 0;
-  };
-  Unsent unsent_;
   Timer tick_soon_;
   bool tick_pending_ = false;
   Timer tick_;
--- a/beamhill/scheduler/work_owner_test_base.h
+++ b/beamhill/scheduler/work_owner_test_base.h
@@ -55,8 +55,7 @@
         },
         [this]() -> const Evacuations& { return evacuations_; },
         WorkOwnerMetrics{&metrics_.AddLatency("commit", ""),
-                         &metrics_.AddCounter("starts", ""),
-                         &metrics_.AddCounter("unsent", "")});
+                         &metrics_.AddCounter("starts", "")});
   }
 
   // The table, with answers to transactions that can be held back.
--- a/beamhill/scheduler/work_owner_vms.cc
+++ b/beamhill/scheduler/work_owner_vms.cc
@@ -114,7 +114,7 @@
 void WorkOwner::OnVmMessage(const std::string& vm,
                             const DispatchMessage& message) {
   const TimePoint now = BootClock::now();
-  dispatcher_->set_may_act(keeper_.MayAct() && !quiet_);
+  RefreshAuthority();
   if (const auto* beat = std::get_if<VmHeartbeat>(&message)) {
     dispatcher_->OnHeartbeat(vm, *beat, now);
     Flush();
