Settle an end again while its VM still lists it

What callers saw: nothing. The executor of a VM that missed the word looks at its runner each 70 ms and the runner keeps the end, until another end of that VM is settled: on a VM with nothing to do, for good. To the users such an end is not taken note of.

Cause: an end counted as settled once the word was decided, also for a VM without a link, and for one whose executor was restarted before it acted on it.

An end stays unsettled until the VM can be told, and one that an inventory lists counts as unsettled again.

EndThatIsStillListedIsSettledAgain and EndThatIsStoredWithoutALinkIsSettledOnce- ThereIsOne failed before and pass.

--- a/beamhill/dispatch/dispatch_commit.cc
+++ b/beamhill/dispatch/dispatch_commit.cc
@@ -21,6 +21,8 @@
   for (const auto& [name, end] : ends) {
     Vm& vm = vms_[name];
     if (vm.status.life != end.first || vm.settled >= end.second) continue;
+    // Stays unsettled until the VM can be told.
+    if (!vm.linked || !vm.answered) continue;
     vm.settled = end.second;
     Send(name, EndsSettled{options_.epoch, end.first, end.second});
   }
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -235,7 +235,11 @@
   // Good until the first lease: what is reported here runs under leases that
   // are not longer than ours.
   state.lease_bound = std::max(state.lease_bound, now + options_.lease_term);
-  for (const RunEnd& end : inventory.ended) ApplyEnd(vm, state, end, now);
+  for (const RunEnd& end : inventory.ended) {
+    // What is still listed was not settled there, whatever was sent.
+    state.settled = std::min(state.settled, end.number - 1);
+    ApplyEnd(vm, state, end, now);
+  }
   StopMissing(state, inventory, now);
   for (const RunRef& run : inventory.running) {
     if (state.held.count(run) == 0) {
