Forget a workflow only once no VM holds a run of it

What callers saw: nothing yet. Rows of a workflow are removed 130 s after it is over, also while a VM still holds a run of it. A later owner then meets a run that it knows nothing of, asks for the VM's inventory four times, and only stops it as unknown work.

WorkIsNotForgottenWhileAVmHoldsARunOfIt failed before and passes.

--- a/beamhill/dispatch/dispatch_commit.cc
+++ b/beamhill/dispatch/dispatch_commit.cc
@@ -53,8 +53,10 @@
     const size_t entries = kEntriesOfProgress * commit.progress.size() +
                            kEntriesOfForgotten * (commit.forgotten.size() + 1);
     if (entries > kMaxEntries) return;
-    const bool old = job->over_at && !job->dirty &&
-                     job->stored_state == job->progress.state() &&
+    const bool stored =
+        !job->dirty && job->stored_state == job->progress.state();
+    // Its rows are what tells a later owner to stop a run that still goes on.
+    const bool old = job->over_at && stored && job->held_runs == 0 &&
                      now - *job->over_at > options_.retention;
     if (old) commit.forgotten.push_back(id);
   }
