Work owner: what it shows of itself in a file of its own

work_owner.cc held loading, deciding, storing and logging in 460 lines. Log lines, figures and the dump move to work_owner_log.cc; a summary line no longer sends weights by the way. No logic changes.

--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -17,10 +17,6 @@
 // What was learned rides on a transaction this often; some kilobytes.
 constexpr Duration kStorePressureInterval = std::chrono::seconds(2);
 constexpr Duration kCommitRetry = std::chrono::milliseconds(150);
-// Pairs of images in a log line: below 4 KiB with the users' names.
-constexpr size_t kPairsOfLine = 60;
-// Of one summary.
-constexpr size_t kOrphanLines = 10;
 
 UnixMillis UnixNow() {
   return std::chrono::duration_cast<UnixMillis>(
@@ -164,58 +160,16 @@
                                  [this] { ScanEarlierVms(); });
   notice_scan_ =
       loop_.Every(options_.notice_scan_interval, [this] { ScanNotices(); });
-  summary_ = loop_.Every(kSummaryInterval, [this] { LogSummary(); });
+  summary_ = loop_.Every(kSummaryInterval, [this] {
+    dispatcher_->SendWeights();
+    Flush();
+    LogSummary();
+  });
   ScanVms();
   ScanNotices();
   Tick();
 }
 
-void WorkOwner::LogSummary() {
-  dispatcher_->SendWeights();
-  Flush();
-  const DispatchSummary summary = dispatcher_->Summary(BootClock::now());
-  Log(LogLevel::kInfo, "owner_summary",
-      {{"epoch", options_.epoch},
-       {"vms", summary.vms},
-       {"cpu", summary.capacity.cpu_millis},
-       {"cpu_used", summary.used.cpu_millis},
-       {"cpu_serving", summary.serving_cpu},
-       {"cpu_filling", summary.filling_cpu},
-       {"cpu_filling_in_use", summary.filling_cpu_in_use},
-       {"runs", summary.held_runs},
-       {"stops", summary.stops},
-       {"oldest_stop_ms", ToMillis(summary.oldest_stop)},
-       {"open_workflows", summary.open_workflows},
-       {"suspects", summary.suspects},
-       {"given_up", summary.given_up}});
-  LogPressureNews();
-  LogOrphans();
-}
-
-void WorkOwner::LogOrphans() {
-  size_t lines = 0;
-  for (const OrphanedWork& work : dispatcher_->Orphans(BootClock::now())) {
-    if (work.age < kCancelLimit || ++lines > kOrphanLines) return;
-    Log(LogLevel::kWarning, "work_orphaned",
-        {{"request", work.workflow},
-         {"epoch", options_.epoch},
-         {"runs", work.runs},
-         {"vm", work.vm},
-         {"age_ms", ToMillis(work.age)}});
-  }
-}
-
-Duration WorkOwner::OldestOrphan() const {
-  if (!dispatcher_) return Duration(0);
-  const auto orphans = dispatcher_->Orphans(BootClock::now());
-  return orphans.empty() ? Duration(0) : orphans.front().age;
-}
-
-Duration WorkOwner::OldestStop() const {
-  if (!dispatcher_) return Duration(0);
-  return dispatcher_->Summary(BootClock::now()).oldest_stop;
-}
-
 void WorkOwner::RefreshAuthority() {
   const bool may_act = keeper_.MayAct();
   const Authority closing = quiet_ ? Authority::kClosing : Authority::kFull;
@@ -228,19 +182,6 @@
        {"since_confirmed_ms", ToMillis(keeper_.SinceConfirmed())}});
 }
 
-void WorkOwner::LogPressureNews() {
-  std::string pairs;
-  for (const PressureWeight& weight : dispatcher_->TakeNews(kPairsOfLine)) {
-    const auto millis = static_cast<int64_t>(ToMillis(weight.per_vm));
-    if (!pairs.empty()) pairs += " ";
-    pairs +=
-        weight.filling + ">" + weight.serving + ":" + std::to_string(millis);
-  }
-  if (pairs.empty()) return;
-  Log(LogLevel::kInfo, "pressure_learned",
-      {{"epoch", options_.epoch}, {"pressure_ms", pairs}});
-}
-
 void WorkOwner::ScanNotices() {
   if (scanning_notices_) return;
   scanning_notices_ = true;
@@ -439,9 +380,4 @@
   if (!dispatcher_) std::exchange(on_quiet_, nullptr)();
 }
 
-std::string WorkOwner::Dump() const {
-  if (!dispatcher_) return "loading\n";
-  return dispatcher_->Dump(BootClock::now());
-}
-
 }  // namespace beamhill
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -110,6 +110,11 @@
   // Breaks links without a sign of life, and logs which came and went.
   void CheckLinks();
 
+  // In work_owner_log.cc.
+  void LogSummary();
+  void LogOrphans();
+  void LogPressureNews();
+
   void Load();
   void LoadNext(std::shared_ptr<Loading> loading);
   // From here on it is loaded().
@@ -127,12 +132,9 @@
   void MaybeCommit();
   void AskAdvisor();
   void OnCommitted(bool committed, TimePoint sent_at);
-  void LogSummary();
-  void LogOrphans();
   // Tells the Dispatcher what it may do by now, and logs when the authority of
   // the ownership is over and when it is back.
   void RefreshAuthority();
-  void LogPressureNews();
   std::vector<RowWrite> WritesOf(const DispatchCommit& commit);
 
   EventLoop& loop_;
--- /dev/null
+++ b/beamhill/scheduler/work_owner_log.cc
@@ -0,0 +1,80 @@
+// The part of WorkOwner that shows its state, for the log, for metrics and for
+// operators.
+#include <string>
+
+#include "beamhill/log/log.h"
+#include "beamhill/scheduler/work_owner.h"
+
+namespace beamhill {
+namespace {
+
+// Pairs of images in a log line: below 4 KiB with the users' names.
+constexpr size_t kPairsOfLine = 60;
+// Of one summary.
+constexpr size_t kOrphanLines = 10;
+
+}  // namespace
+
+void WorkOwner::LogSummary() {
+  const DispatchSummary summary = dispatcher_->Summary(BootClock::now());
+  Log(LogLevel::kInfo, "owner_summary",
+      {{"epoch", options_.epoch},
+       {"vms", summary.vms},
+       {"cpu", summary.capacity.cpu_millis},
+       {"cpu_used", summary.used.cpu_millis},
+       {"cpu_serving", summary.serving_cpu},
+       {"cpu_filling", summary.filling_cpu},
+       {"cpu_filling_in_use", summary.filling_cpu_in_use},
+       {"runs", summary.held_runs},
+       {"stops", summary.stops},
+       {"oldest_stop_ms", ToMillis(summary.oldest_stop)},
+       {"open_workflows", summary.open_workflows},
+       {"suspects", summary.suspects},
+       {"given_up", summary.given_up}});
+  LogPressureNews();
+  LogOrphans();
+}
+
+void WorkOwner::LogOrphans() {
+  size_t lines = 0;
+  for (const OrphanedWork& work : dispatcher_->Orphans(BootClock::now())) {
+    if (work.age < kCancelLimit || ++lines > kOrphanLines) return;
+    Log(LogLevel::kWarning, "work_orphaned",
+        {{"request", work.workflow},
+         {"epoch", options_.epoch},
+         {"runs", work.runs},
+         {"vm", work.vm},
+         {"age_ms", ToMillis(work.age)}});
+  }
+}
+
+void WorkOwner::LogPressureNews() {
+  std::string pairs;
+  for (const PressureWeight& weight : dispatcher_->TakeNews(kPairsOfLine)) {
+    const auto millis = static_cast<int64_t>(ToMillis(weight.per_vm));
+    if (!pairs.empty()) pairs += " ";
+    pairs +=
+        weight.filling + ">" + weight.serving + ":" + std::to_string(millis);
+  }
+  if (pairs.empty()) return;
+  Log(LogLevel::kInfo, "pressure_learned",
+      {{"epoch", options_.epoch}, {"pressure_ms", pairs}});
+}
+
+Duration WorkOwner::OldestOrphan() const {
+  if (!dispatcher_) return Duration(0);
+  const auto orphans = dispatcher_->Orphans(BootClock::now());
+  return orphans.empty() ? Duration(0) : orphans.front().age;
+}
+
+Duration WorkOwner::OldestStop() const {
+  if (!dispatcher_) return Duration(0);
+  return dispatcher_->Summary(BootClock::now()).oldest_stop;
+}
+
+std::string WorkOwner::Dump() const {
+  if (!dispatcher_) return "loading\n";
+  return dispatcher_->Dump(BootClock::now());
+}
+
+}  // namespace beamhill
