Outage replay: an end that was lost with its lease may be followed by a start

Traced: the VM's link broke 0.2 s after the authority was back, its lease ended at 80.70 s, 0.44 s after the task was done and before anyone had heard of that, and the owner let its work go at 80.85 s.

--- a/beamhill/replay/leased_runner.cc
+++ b/beamhill/replay/leased_runner.cc
@@ -123,6 +123,9 @@
 
 void LeasedRunner::Tick() {
   const bool lapsed = *Reply(RunnerVerdict::kDone).clock > lease_end_;
+  if (lapsed) {
+    for (const RunEnd& end : ended_) hooks_.on_end_lost(end);
+  }
   for (const auto& [run, since] : std::map<RunRef, TimePoint>(runs_)) {
     const Duration work = hooks_.work_of(run.task);
     if (lapsed) {
--- a/beamhill/replay/leased_runner.h
+++ b/beamhill/replay/leased_runner.h
@@ -25,6 +25,8 @@
   std::function<Duration(const TaskRef& task)> work_of;
   std::function<void(const RunRef& run)> on_start;
   std::function<void(const RunRef& run, RunEndKind kind)> on_end;
+  // The lease is over, with this end listed that nobody has settled.
+  std::function<void(const RunEnd& end)> on_end_lost;
 };
 
 class LeasedRunner {
--- a/beamhill/replay/outage_replay.cc
+++ b/beamhill/replay/outage_replay.cc
@@ -135,6 +135,11 @@
         jobs_.at(run.task.workflow).done.insert(run.task);
       }
     };
+    // The task may run again then.
+    hooks.on_end_lost = [this](const RunEnd& end) {
+      if (end.kind != RunEndKind::kDone) return;
+      jobs_.at(end.run.task.workflow).done.erase(end.run.task);
+    };
     vms_[name].runner = std::make_unique<LeasedRunner>(time_, std::move(hooks));
     StartExecutor(name);
   }
