Give back starts that have not left as the authority ends

It takes a VM that tells within 1.9 s that its runner is gone and that it is back under its name.

Starts are given back to be placed anew as the authority ends; stops and settled ends still wait. StartThatIsDecidedAsItEndsIsCarriedOut and its neighbour asked that the run be held meanwhile, which it is no more; they ask that a start was decided.

--- a/beamhill/dispatch/dispatch_stops_test.cc
+++ b/beamhill/dispatch/dispatch_stops_test.cc
@@ -1,5 +1,4 @@
-// Stops and settled ends that were sent and did not arrive. Both were taken for
-// done once they were decided.
+// Stops and settled ends that were sent and did not arrive.
 #include "beamhill/dispatch/dispatcher_test_base.h"
 
 namespace beamhill {
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -187,11 +187,32 @@
   }
 }
 
-void Dispatcher::set_authority(Authority authority) {
-  const bool back =
-      authority_ == Authority::kNone && authority != Authority::kNone;
+void Dispatcher::SetAuthority(Authority authority, TimePoint now) {
+  const bool had_none = authority_ == Authority::kNone;
   authority_ = authority;
-  if (back) AttachAgain();
+  if (authority == Authority::kNone) {
+    WithdrawStarts(now);
+  } else if (had_none) {
+    AttachAgain();
+  }
+}
+
+void Dispatcher::WithdrawStarts(TimePoint now) {
+  const auto is_start = [](const VmMessage& out) {
+    return std::holds_alternative<StartRuns>(out.message);
+  };
+  const auto first =
+      std::stable_partition(outbox_.begin(), outbox_.end(),
+                            [&](const auto& out) { return !is_start(out); });
+  for (auto it = first; it != outbox_.end(); ++it) {
+    const auto& starts = std::get<StartRuns>(it->message);
+    for (const StartRun& start : starts.runs) {
+      const RunRef run{
+          {starts.workflow, starts.round, starts.step, start.index}, start.run};
+      ApplyNotBegun(it->vm, vms_[it->vm], {run, NotBegunReason::kStopped}, now);
+    }
+  }
+  outbox_.erase(first, outbox_.end());
 }
 
 void Dispatcher::OnHeartbeat(const std::string& vm, const VmHeartbeat& beat,
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -111,9 +111,10 @@
   // The data halls in which nothing more is to be started.
   void SetEvacuations(const Evacuations& evacuations);
 
-  // Leases are granted and tasks started with full authority only. Whatever
-  // else is decided without any waits until it is back.
-  void set_authority(Authority authority);
+  // Leases are granted and tasks started with full authority only. As it ends,
+  // starts that have not left are given back; stops and settled ends wait until
+  // it is back.
+  void SetAuthority(Authority authority, TimePoint now);
 
   // What was learned of pressure, to be stored; and what an earlier owner
   // stored.
@@ -174,6 +175,9 @@
   void MarkDirty(Job& job);
   void Send(const std::string& vm, DispatchMessage message);
   void SendAttach(const std::string& vm);
+  // Gives back starts that have not left: when they could, their runs may be
+  // let go and their tasks be started elsewhere.
+  void WithdrawStarts(TimePoint now);
   // The name of one such VM; empty when there is none.
   std::string VmThatHolds(const std::string& workflow) const;
   // Whether its tasks may be started: it is stored under this epoch, and what
--- a/beamhill/replay/outage_replay.cc
+++ b/beamhill/replay/outage_replay.cc
@@ -241,7 +241,8 @@
 
   void NoteAuthority() {
     const bool may_act = MayAct();
-    owner_->set_authority(may_act ? Authority::kFull : Authority::kNone);
+    owner_->SetAuthority(may_act ? Authority::kFull : Authority::kNone,
+                         time_.now());
     if (may_act == had_authority_) return;
     had_authority_ = may_act;
     for (auto& [name, vm] : vms_) vm.calm_since = time_.now();
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -173,7 +173,8 @@
 void WorkOwner::RefreshAuthority() {
   const bool may_act = keeper_.MayAct();
   const Authority closing = quiet_ ? Authority::kClosing : Authority::kFull;
-  dispatcher_->set_authority(may_act ? closing : Authority::kNone);
+  dispatcher_->SetAuthority(may_act ? closing : Authority::kNone,
+                            BootClock::now());
   if (may_act == has_authority_) return;
   has_authority_ = may_act;
   Log(may_act ? LogLevel::kInfo : LogLevel::kWarning,
--- a/beamhill/scheduler/work_owner_authority_test.cc
+++ b/beamhill/scheduler/work_owner_authority_test.cc
@@ -1,6 +1,5 @@
-// What an owner decides while its authority is over, or as it ends. The owner
-// threw such messages away and took them for sent: cancelled work ran on for
-// good, and tasks that had been ordered never started.
+// What an owner decides while its authority is over, or as it ends, is neither
+// lost nor sent too early.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -224,7 +223,7 @@
   Store({advised, Job("w", /*lasting=*/false)});
   ASSERT_TRUE(RunUntil([&] {
     return owner_ && owner_->loaded() && clock_ahead_ > Duration(0) &&
-           owner_->dispatcher()->HeldRunsOf("w") == 1;
+           owner_->dispatcher()->counts().starts > 0;
   }));
   Pass(milliseconds(100));
   ReturnTable();
@@ -235,5 +234,37 @@
   }));
 }
 
+// What is kept until the authority is back does not leave before.
+TEST_F(WorkOwnerAuthorityTest, NoStopLeavesWithoutAuthority) {
+  Store({Job("w", /*lasting=*/true)});
+  vm_.Show({RunOf("w")});
+  ASSERT_TRUE(RunUntil([&] {
+    return owner_ && owner_->loaded() &&
+           owner_->dispatcher()->HeldRunsOf("w") == 1;
+  }));
+  LoseTable();
+  owner_->OnCancelStored("w");
+  Pass(milliseconds(300));
+  EXPECT_FALSE(keeper_->MayAct());
+  EXPECT_TRUE(vm_.stopped().empty());
+}
+
+TEST_F(WorkOwnerAuthorityTest, NoStartLeavesOnceTheAuthorityHasEnded) {
+  Workflow advised = Job("a", /*lasting=*/false);
+  advised.policy.needs_advice = true;
+  on_advice_asked_ = [this] {
+    table_.set_fault(TableFault::kDown);
+    clock_ahead_ = kPastAuthority;
+  };
+  Store({advised, Job("w", /*lasting=*/false)});
+  ASSERT_TRUE(RunUntil([&] {
+    return owner_ && owner_->loaded() && clock_ahead_ > Duration(0) &&
+           owner_->dispatcher()->counts().starts > 0;
+  }));
+  Pass(milliseconds(300));
+  EXPECT_FALSE(keeper_->MayAct());
+  EXPECT_TRUE(vm_.started().empty());
+}
+
 }  // namespace
 }  // namespace beamhill
