List orphaned work without a search of all VMs for each of it

The line and the metric about work that outlives its workflow searched all VMs for one that holds it, each second and at each scrape, before age and the number of lines were looked at. The VM is looked up for the ten lines that are printed.

--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -120,8 +120,10 @@
   if (job.held_runs == 0) return;
   const std::string& id = job.progress.workflow().id;
   for (auto& [name, vm] : vms_) {
-    for (const auto& [run, held] : vm.held) {
-      if (run.task.workflow == id) vm.stops.Add(run, now);
+    auto it = vm.held.lower_bound({{id, 0, 0, 0}, 0});
+    if (it == vm.held.end() || it->first.task.workflow != id) continue;
+    for (; it != vm.held.end() && it->first.task.workflow == id; ++it) {
+      vm.stops.Add(it->first, now);
     }
     SendStops(name, vm, now);
   }
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -67,8 +67,7 @@
   std::vector<OrphanedWork> orphans;
   for (const auto& [id, job] : jobs_) {
     if (!job->over_at || job->held_runs == 0) continue;
-    orphans.push_back(
-        {id, job->held_runs, VmThatHolds(id), now - *job->over_at});
+    orphans.push_back({id, job->held_runs, now - *job->over_at});
   }
   std::sort(orphans.begin(), orphans.end(),
             [](const auto& a, const auto& b) { return a.age > b.age; });
--- a/beamhill/dispatch/dispatch_types.h
+++ b/beamhill/dispatch/dispatch_types.h
@@ -72,7 +72,6 @@
 struct OrphanedWork {
   std::string workflow;
   size_t runs = 0;
-  std::string vm;  // One that holds some.
   Duration age{};  // Since the workflow was over.
 };
 
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -146,6 +146,8 @@
   DispatchSummary Summary(TimePoint now) const;
   // What VMs hold of workflows that are over, the oldest first.
   std::vector<OrphanedWork> Orphans(TimePoint now) const;
+  // The name of a VM that holds a run of the workflow; empty when none does.
+  std::string VmThatHolds(const std::string& workflow) const;
   // One line for each VM and each workflow that is not over.
   std::string Dump(TimePoint now) const;
 
@@ -178,8 +180,6 @@
   // Gives back starts that have not left: when they could, their runs may be
   // let go and their tasks be started elsewhere.
   void WithdrawStarts(TimePoint now);
-  // The name of one such VM; empty when there is none.
-  std::string VmThatHolds(const std::string& workflow) const;
   // Whether its tasks may be started: it is stored under this epoch, and what
   // an earlier owner may have started of it is known.
   bool MayStart(const Job& job) const;
--- a/beamhill/scheduler/work_owner_log.cc
+++ b/beamhill/scheduler/work_owner_log.cc
@@ -43,7 +43,7 @@
         {{"request", work.workflow},
          {"epoch", options_.epoch},
          {"runs", work.runs},
-         {"vm", work.vm},
+         {"vm", dispatcher_->VmThatHolds(work.workflow)},
          {"age_ms", ToMillis(work.age)}});
   }
 }
