Send stops also to a VM whose inventory is still to come

Its executor is attached and would obey; one that is not drops the stop, and all stops are due again after the inventory.

Three more tests hold the ways out of the pending stops, which had none.

--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -98,8 +98,9 @@
 }
 
 void Dispatcher::SendStops(const std::string& name, Vm& vm, TimePoint now) {
-  const bool reachable = vm.linked && vm.answered;
-  if (!reachable || authority_ == Authority::kNone) return;
+  // One that has not answered may obey all the same; if not, they are due again
+  // once it has.
+  if (!vm.linked || authority_ == Authority::kNone) return;
   StopRuns stops{options_.epoch, vm.status.life, {}};
   for (const DueStop& stop : vm.stops.TakeDue(now)) {
     stops.runs.push_back(stop.run);
--- a/beamhill/dispatch/dispatch_stops_test.cc
+++ b/beamhill/dispatch/dispatch_stops_test.cc
@@ -12,8 +12,8 @@
 
 class DispatcherStopsTest : public DispatcherTest {
  protected:
-  // A lasting task of "w" runs on vm-1, and the workflow is cancelled.
-  RunRef CancelRunningWork() {
+  // A lasting task of "w" runs on vm-1.
+  RunRef RunLastingWork() {
     Take({});
     Link("vm-1");
     Workflow workflow = OneStep("w", 1, 2);
@@ -21,10 +21,21 @@
     dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
     const Sent sent = Tick();
     EXPECT_THAT(sent.starts, SizeIs(1));
-    const RunRef run = sent.starts.at(0).second;
+    return sent.starts.at(0).second;
+  }
+
+  RunRef CancelRunningWork() {
+    const RunRef run = RunLastingWork();
     dispatcher_->Cancel("w", now_);
     return run;
   }
+
+  // vm-1 holds a run that no workflow asks for.
+  void ShowStray() {
+    dispatcher_->OnLinkUp("vm-1");
+    for (int i = 0; i < 5; ++i) Answer("vm-1", {Ref("unknown", 0, 1)});
+    ASSERT_EQ(dispatcher_->Summary(now_).stops, 1);
+  }
 };
 
 TEST_F(DispatcherStopsTest, StopThatIsLostIsSentAgainUntilTheRunIsOver) {
@@ -42,6 +53,50 @@
   EXPECT_THAT(Take().stops, IsEmpty());
 }
 
+// It was asked anew what it holds, on the same link: its executor obeys.
+TEST_F(DispatcherStopsTest, StopDoesNotWaitForTheInventoryOfAnAttachedVm) {
+  const RunRef run = RunLastingWork();
+  dispatcher_->OnVmSilent("vm-1");
+  dispatcher_->Cancel("w", now_);
+  EXPECT_THAT(Tick().stops, ElementsAre(Pair("vm-1", run)));
+}
+
+// Rows of another workflow can't be found: the VM is asked four more times.
+TEST_F(DispatcherStopsTest, StopDoesNotWaitForWorkThatNobodyKnows) {
+  const RunRef run = RunLastingWork();
+  dispatcher_->OnVmSilent("vm-1");
+  EXPECT_FALSE(dispatcher_->OnInventory(
+      "vm-1", {2, StatusOf("vm-1"), {run, Ref("unknown", 0, 1)}, {}, {}, {}},
+      now_));
+  dispatcher_->Cancel("w", now_);
+  EXPECT_THAT(Tick().stops, ElementsAre(Pair("vm-1", run)));
+}
+
+TEST_F(DispatcherStopsTest, StopIsOverOnceTheRunNeverBegins) {
+  const RunRef run = CancelRunningWork();
+  Take();
+  dispatcher_->OnReports(
+      "vm-1",
+      {2, StatusOf("vm-1").life, {}, {{run, NotBegunReason::kStopped}}, {}},
+      now_);
+  EXPECT_EQ(dispatcher_->Summary(now_).stops, 0);
+}
+
+TEST_F(DispatcherStopsTest, StopIsOverOnceAnotherLifeOfTheRunnerIsThere) {
+  CancelRunningWork();
+  lives_["vm-1"] = "vm-1-life-2";
+  Link("vm-1");
+  EXPECT_EQ(dispatcher_->Summary(now_).stops, 0);
+}
+
+// A run that no workflow asks for, which its VM had and has no more.
+TEST_F(DispatcherStopsTest, StopOfAStrayIsOverOnceItsVmDoesNotShowIt) {
+  Take({});
+  ShowStray();
+  Answer("vm-1");
+  EXPECT_EQ(dispatcher_->Summary(now_).stops, 0);
+}
+
 TEST_F(DispatcherStopsTest, EndThatIsStillListedIsSettledAgain) {
   Take({});
   Link("vm-1");
