Never settle an end that was not taken in

Since ends are settled again while they are listed, such an end was settled unread, and lost. It stays unsettled, as it did before.

EndThatWasNotTakenInIsNotSettled failed before.

--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -239,9 +239,11 @@
   // are not longer than ours.
   state.lease_bound = std::max(state.lease_bound, now + options_.lease_term);
   for (const RunEnd& end : inventory.ended) {
-    // What is still listed was not settled there, whatever was sent.
-    state.settled = std::min(state.settled, end.number - 1);
     ApplyEnd(vm, state, end, now);
+    // What is still listed was not settled there, whatever was sent. An end
+    // that was not taken in must not be settled at all.
+    const bool taken_in = state.held.count(end.run) == 0;
+    if (taken_in) state.settled = std::min(state.settled, end.number - 1);
   }
   StopMissing(state, inventory, now);
   for (const RunRef& run : inventory.running) {
--- a/beamhill/dispatch/dispatch_stops_test.cc
+++ b/beamhill/dispatch/dispatch_stops_test.cc
@@ -112,6 +112,24 @@
   EXPECT_THAT(Take().settled, ElementsAre(Pair("vm-1", 1)));
 }
 
+// A runner that doesn't tell when it started keeps its name over a restart, and
+// numbers its ends from 1 again.
+TEST_F(DispatcherStopsTest, EndThatWasNotTakenInIsNotSettled) {
+  Take({});
+  Link("vm-1");
+  dispatcher_->AddWorkflow(OneStep("a", 1, 2), std::nullopt, now_);
+  End("vm-1", 1, Tick().starts.at(0).second, RunEndKind::kDone);
+  ASSERT_TRUE(Store());
+  ASSERT_THAT(Take().settled, ElementsAre(Pair("vm-1", 1)));
+  dispatcher_->AddWorkflow(OneStep("b", 1, 2), std::nullopt, now_);
+  const RunRef run = Tick().starts.at(0).second;
+  dispatcher_->OnLinkDown("vm-1");
+  Link("vm-1", {}, {{1, run, RunEndKind::kDone, ""}});
+  Take();
+  Store();
+  EXPECT_THAT(Take().settled, IsEmpty());
+}
+
 // While a VM is out of reach nobody can tell it.
 TEST_F(DispatcherStopsTest,
        EndThatIsStoredWithoutALinkIsSettledOnceThereIsOne) {
