Drop stops with the lease of a VM that holds nothing else

Nothing was sent, but the count and the age of open stops rose, which operators watch.

StopOfAStrayIsOverWithTheLeaseOfItsVm failed before.

--- a/beamhill/dispatch/dispatch_stops_test.cc
+++ b/beamhill/dispatch/dispatch_stops_test.cc
@@ -89,6 +89,15 @@
   EXPECT_EQ(dispatcher_->Summary(now_).stops, 0);
 }
 
+// It held nothing else, and went for good.
+TEST_F(DispatcherStopsTest, StopOfAStrayIsOverWithTheLeaseOfItsVm) {
+  Take({});
+  ShowStray();
+  dispatcher_->OnLinkDown("vm-1");
+  Pass(seconds(30));
+  EXPECT_EQ(dispatcher_->Summary(now_).stops, 0);
+}
+
 // A run that no workflow asks for, which its VM had and has no more.
 TEST_F(DispatcherStopsTest, StopOfAStrayIsOverOnceItsVmDoesNotShowIt) {
   Take({});
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -272,7 +272,8 @@
 
 void Dispatcher::ExpireLeases(TimePoint now) {
   for (auto& [name, vm] : vms_) {
-    if (vm.held.empty() || !IsPast(vm.lease_bound, now)) continue;
+    const bool idle = vm.held.empty() && vm.stops.empty();
+    if (idle || !IsPast(vm.lease_bound, now)) continue;
     Decide("", "vm_lapsed", name);
     if (vm.linked) SuspectUnansweredFor(name, vm, now);
     LetGoAll(name, vm, "lease over", now);
