Executor: stop a run again that goes on after its runner took the stop

What callers see: a cancelled task that runs on for good, though its owner and its executor both count it as stopped.

Cause: once a runner had answered a stop as done, the order stood in the phase kStopped. Looks that no longer showed the run settled it; looks that still did changed nothing, and neither did the owner's repetition of the stop. A stop whose effect was lost (a start that took effect after it, a runner that answers before it acts and then does not) was never sent again.

Now a look that is sent kStopTakesEffect (1 s) or more after the runner took the stop, and still shows the run, has it stopped again, and so on until it is gone. The owner's repetitions neither shorten nor reset that time. While such a stop is open, looks wait 0.25 s for an end instead of 1 s, so that the repetition follows within some 1.5 s. It is logged (stop_in_vain) and counted (beamhill_stops_in_vain_total).

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -72,6 +72,8 @@
   uint64_t runners_lost = 0;
   uint64_t stops = 0;          // Stops asked of the runner.
   uint64_t stops_overdue = 0;  // Ordered stops that took too long.
+  // Stops asked once more since the runner took one and the run went on.
+  uint64_t stops_in_vain = 0;
 };
 
 class Executor {
@@ -113,7 +115,7 @@
     kStarting,   // The start has left, and its answer is not in.
     kUncertain,  // It got no answer; a look will tell.
     kStopping,   // A stop waits, is open or is to be sent.
-    kStopped,    // The runner took the stop; a look will tell.
+    kStopped,    // The runner took the stop; looks tell what it did.
   };
   struct Order {
     Phase phase = Phase::kWaiting;
@@ -194,6 +196,7 @@
   void DropOutdatedStarts(TimePoint now);
   void OnStartReply(const RunRef& run, TimePoint sent_at,
                     const RunnerReply& reply);
+  // The owner may say it any number of times: what is under way goes on.
   void StopOne(const RunRef& run);
   void QueueStop(const RunRef& run, Order& order);
   void SendStops();
@@ -210,6 +213,8 @@
   void NotBegun(const RunRef& run, NotBegunReason reason);
   // What a look that was sent after a call shows is what became of the call.
   void ResolveOrders(const RunnerView& view, TimePoint sent_at);
+  // The runner has taken a stop; a look that was sent then shows the run.
+  void OnRunsOn(const RunRef& run, Order& order, TimePoint sent_at);
 
   // In executor_looks.cc.
   void OnSettled(const EndsSettled& settled);
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -11,8 +11,9 @@
 
 using std::chrono::milliseconds;
 
-// How long a look waits for an end: short while pacing needs fresh figures.
-constexpr milliseconds kPacedWait{250};
+// How long a look waits for an end: short while pacing needs fresh figures, or
+// a stop is to take effect.
+constexpr milliseconds kShortWait{250};
 constexpr milliseconds kQuietWait{1000};
 // While ends wait to be settled a look returns at once, so it is repeated
 // only so often.
@@ -34,7 +35,10 @@
       std::any_of(paced_.begin(), paced_.end(), [](const auto& entry) {
         return entry.second.traits.tail_target > Duration(0);
       });
-  return paced ? kPacedWait : kQuietWait;
+  const bool stopping = std::any_of(
+      orders_.begin(), orders_.end(),
+      [](const auto& entry) { return entry.second.phase == Phase::kStopped; });
+  return paced || stopping ? kShortWait : kQuietWait;
 }
 
 bool Executor::LookSoon() {
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr Duration kStopRetry = std::chrono::milliseconds(300);
+// A run that a look shows so long after its runner took the stop is stopped
+// again: runners take 0.4 s at most to carry one out.
+constexpr Duration kStopTakesEffect = std::chrono::seconds(1);
 // A start that has waited so long for its turn is worth a line.
 constexpr Duration kNotableWait = std::chrono::milliseconds(300);
 
@@ -278,11 +281,26 @@
         order.phase = Phase::kStopping;
         QueueStop(run, order);
       }
-    } else if (seen.phase == Phase::kStopped && !runs) {
-      NotBegun(run, NotBegunReason::kStopped);
+    } else if (seen.phase == Phase::kStopped) {
+      if (runs) {
+        OnRunsOn(run, orders_[run], sent_at);
+      } else {
+        NotBegun(run, NotBegunReason::kStopped);
+      }
     }
   }
   SendStops();
 }
 
+void Executor::OnRunsOn(const RunRef& run, Order& order, TimePoint sent_at) {
+  const Duration age = sent_at - order.since;
+  if (age < kStopTakesEffect) return;
+  ++counts_.stops_in_vain;
+  hooks_.log("stop_in_vain", run.task.ToString(),
+             "run " + std::to_string(run.run) + ": runs " + MillisText(age) +
+                 " ms after the runner took the stop");
+  order.phase = Phase::kStopping;
+  QueueStop(run, order);
+}
+
 }  // namespace beamhill
--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -84,6 +84,9 @@
         &ExecutorCounts::stops);
   gauge("beamhill_stops_overdue_total", "Ordered stops that took too long.",
         &ExecutorCounts::stops_overdue);
+  gauge("beamhill_stops_in_vain_total",
+        "Stops asked once more since the runner took one and the run went on.",
+        &ExecutorCounts::stops_in_vain);
   metrics.AddGauge("beamhill_oldest_stop_seconds",
                    "Since when an ordered stop is not settled.", [executor] {
                      return ToMillis(executor->OldestStop()) / 1000;
