Executor: make no inventory of a look that is older than what is known

What callers see: sound work is stopped and begins anew after a link to its VM was lost, or a task is counted as at work for as long as the link lasts though it never began or has ended.

Cause: two looks may be open, and the one that was sent first may be answered last. An owner that attached anew got its inventory from whichever came first. If that look was older than the answer to a start, the run was neither among those that run nor among the open orders, and the owner stops what an inventory does not name. If it was older than a stop that had been settled while no owner was there, the run was named as running. And the inventory counted all ends that were ever listed as reported, also those that its own look did not list, so that they were never told on this link.

Now an inventory is only made of a look that was sent after the last order was settled and forgotten; if there is none, a look is sent at once. What counts as reported is what was sent.

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -208,6 +208,7 @@
     return caller.epoch == epoch_ && caller.life == status_.life;
   }
   // The runner has begun the run: tells the owner, if it wants to hear that.
+  void OnBegun(const RunRef& run);
   void ReportBegin(const RunRef& run);
   // Tells the owner that the run never begins.
   void NotBegun(const RunRef& run, NotBegunReason reason);
@@ -276,6 +277,9 @@
   uint64_t epoch_ = 0;
   std::optional<uint64_t> owner_link_;
   bool inventory_wanted_ = false;
+  // A look that was sent earlier may not show what became of some order that
+  // is forgotten by now.
+  TimePoint inventory_after_{};
   bool told_empty_ = false;  // In this attachment, for want of an answer.
   TimePoint started_at_{};
   TimePoint owner_heard_at_{};
@@ -309,7 +313,7 @@
   TimePoint pressure_sent_at_{};
   uint64_t settled_ = 0;  // Ends that may be forgotten.
   uint64_t highest_listed_ = 0;
-  uint64_t reported_ = 0;  // Highest end sent on this link.
+  uint64_t reported_ = 0;  // Ends up to here were sent on this link.
   int looks_open_ = 0;
   bool slow_look_open_ = false;
   TimePoint next_look_{};
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "beamhill/executor/executor.h"
 
@@ -21,6 +22,14 @@
 constexpr Duration kLostPause = std::chrono::milliseconds(250);
 constexpr int kMaxLooksOpen = 2;
 
+// Looks may be answered in another order than they were sent, so this may be
+// less than what an earlier view listed.
+uint64_t HighestOf(const std::vector<RunEnd>& ends) {
+  uint64_t highest = 0;
+  for (const RunEnd& end : ends) highest = std::max(highest, end.number);
+  return highest;
+}
+
 }  // namespace
 
 void Executor::OnSettled(const EndsSettled& settled) {
@@ -98,13 +107,20 @@
     highest_listed_ = std::max(highest_listed_, end.number);
     paced_.erase(end.run);
   }
-  if (inventory_wanted_ && owner_link_) SendInventory(view);
+  const auto wants_inventory = [this] {
+    return inventory_wanted_ && owner_link_;
+  };
+  if (wants_inventory() && sent_at >= inventory_after_) SendInventory(view);
   ReportEnds(view);
   ResolveOrders(view, sent_at);
   Pace(view, sent_at, now);
   life_record_.OnView(std::move(view), sent_at);
   next_look_ = highest_listed_ > settled_ ? now + kUnsettledPause : now;
-  if (next_look_ <= now && !slow_look_open_) Look(NextWait());
+  if (wants_inventory()) {
+    LookSoon();
+  } else if (next_look_ <= now && !slow_look_open_) {
+    Look(NextWait());
+  }
 }
 
 void Executor::SendInventory(const RunnerView& view) {
@@ -118,7 +134,7 @@
   inventory.ended = view.ended;
   AddPastLives(inventory);
   inventory_wanted_ = false;
-  reported_ = highest_listed_;
+  reported_ = HighestOf(view.ended);
   SendToOwner(inventory);
   // Asks for a lease at once.
   last_heartbeat_ = hooks_.now();
@@ -157,7 +173,7 @@
     if (end.number > reported_) reports.ended.push_back(end);
   }
   if (reports.ended.empty() || !owner_link_) return;
-  reported_ = highest_listed_;
+  reported_ = HighestOf(view.ended);
   SendToOwner(reports);
 }
 
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -134,8 +134,7 @@
   Order& order = it->second;
   switch (reply.verdict) {
     case RunnerVerdict::kDone:
-      ReportBegin(run);
-      orders_.erase(it);
+      OnBegun(run);
       PaceNewFiller(run);
       return;
     case RunnerVerdict::kNoAnswer:
@@ -152,6 +151,12 @@
   }
 }
 
+void Executor::OnBegun(const RunRef& run) {
+  ReportBegin(run);
+  orders_.erase(run);
+  inventory_after_ = hooks_.now();
+}
+
 void Executor::ReportBegin(const RunRef& run) {
   if (!orders_.at(run).report_begin) return;
   // One of a workflow is enough.
@@ -163,6 +168,7 @@
 
 void Executor::NotBegun(const RunRef& run, NotBegunReason reason) {
   orders_.erase(run);
+  inventory_after_ = hooks_.now();
   paced_.erase(run);
   life_record_.OnNeverBegun(run);
   hooks_.log("run_not_begun", run.task.ToString(),
@@ -274,8 +280,7 @@
     const bool runs = running.count(run) > 0;
     if (seen.phase == Phase::kUncertain) {
       if (runs) {
-        ReportBegin(run);
-        orders_.erase(run);
+        OnBegun(run);
       } else {
         Order& order = orders_[run];
         order.phase = Phase::kStopping;
--- /dev/null
+++ b/beamhill/executor/executor_reports_test.cc
@@ -0,0 +1,107 @@
+// That an owner hears of each begin and end, whichever message was lost and in
+// whichever order looks are answered.
+#include "beamhill/executor/executor_test_base.h"
+
+namespace beamhill {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::Contains;
+using testing::IsEmpty;
+using testing::Not;
+using testing::SizeIs;
+
+class ExecutorReportsTest : public ExecutorTest {
+ protected:
+  static constexpr uint64_t kOtherLink = 2;
+
+  // kRun has left for the runner when the owner attaches anew, and two looks
+  // are open: one from before, one for the inventory.
+  void AttachAgainAsARunStarts() {
+    Register("life-1");
+    Attach(1);
+    Start(kRun, 1);
+    ASSERT_THAT(starts_, SizeIs(1));
+    sent_.clear();
+    now_ += milliseconds(10);
+    executor_->OnMessage(kOtherLink, ::beamhill::Attach{"a", 1});
+    ASSERT_THAT(looks_, SizeIs(2));
+    now_ += milliseconds(10);
+  }
+
+  // The look that was sent last is answered first.
+  void AnswerLastLook(std::vector<RunningRun> running,
+                      std::vector<RunEnd> ended) {
+    ASSERT_THAT(looks_, Not(IsEmpty()));
+    const auto done = looks_.back().second;
+    looks_.pop_back();
+    done({{RunnerVerdict::kDone, RunnerClock(1000)},
+          std::move(running),
+          std::move(ended)});
+  }
+};
+
+// The owner stops what it holds and an inventory does not name.
+TEST_F(ExecutorReportsTest, InventoryNamesARunThatBeganAfterItsLookWasSent) {
+  AttachAgainAsARunStarts();
+  AnswerAll(starts_);
+  now_ += milliseconds(1);
+  AnswerLook();
+  AnswerLook();
+  for (const VmInventory& inventory : Sent<VmInventory>()) {
+    EXPECT_THAT(inventory.running, Contains(kRun));
+  }
+  AnswerLook({{kRun, 0, 0}});
+  ASSERT_THAT(Sent<VmInventory>(), SizeIs(1));
+  EXPECT_THAT(Sent<VmInventory>()[0].running, Contains(kRun));
+}
+
+// The owner, which missed the report, would hold it as long as the link lasts.
+TEST_F(ExecutorReportsTest, InventoryNamesNoRunThatIsKnownNeverToBegin) {
+  Register("life-1");
+  Attach(1);
+  Start(kRun, 1);
+  now_ += milliseconds(10);
+  executor_->OnMessage(kLink, StopRuns{1, "life-1", {kRun}});
+  AnswerAll(starts_);
+  AnswerAll(stops_);
+  ASSERT_THAT(looks_, SizeIs(2));  // One of before the stop.
+  executor_->OnLinkDown(kLink);
+  now_ += milliseconds(10);
+  AnswerLastLook({}, {});
+  sent_.clear();
+  now_ += milliseconds(10);
+  executor_->OnMessage(kOtherLink, ::beamhill::Attach{"a", 1});
+  AnswerLook({{kRun, 0, 0}});
+  EXPECT_THAT(Sent<VmInventory>(), IsEmpty());
+  AnswerLook();
+  ASSERT_THAT(Sent<VmInventory>(), SizeIs(1));
+  EXPECT_THAT(Sent<VmInventory>()[0].running, IsEmpty());
+}
+
+// The end was listed while no owner was there, and the inventory is from a look
+// that was answered late and does not list it.
+TEST_F(ExecutorReportsTest, EndThatTheInventoryLacksIsReportedAfterIt) {
+  Register("life-1");
+  Attach(1);
+  now_ += milliseconds(10);
+  executor_->OnMessage(kLink, EndsSettled{1, "life-1", 1});
+  ASSERT_THAT(looks_, SizeIs(2));
+  executor_->OnLinkDown(kLink);
+  AnswerLastLook({}, {{2, kRun, RunEndKind::kDone, ""}});
+  sent_.clear();
+  executor_->OnMessage(kOtherLink, ::beamhill::Attach{"a", 1});
+  AnswerLook({{kRun, 50, 0}});
+  AnswerLook({}, {{2, kRun, RunEndKind::kDone, ""}});
+  std::vector<RunEnd> told;
+  for (const VmInventory& inventory : Sent<VmInventory>()) {
+    told.insert(told.end(), inventory.ended.begin(), inventory.ended.end());
+  }
+  for (const RunReports& reports : Sent<RunReports>()) {
+    told.insert(told.end(), reports.ended.begin(), reports.ended.end());
+  }
+  EXPECT_THAT(told, SizeIs(1));
+}
+
+}  // namespace
+}  // namespace beamhill
