Executor: report ends that stay unsettled again each second

What callers see: a task that has ended counts as at work for as long as the link to its VM lasts, should the one report of its end be of no use to the owner; and a VM that is looked at 14 times a second until its next end, should the owner's word that its ends are settled be lost.

Cause: the message's own comment says that ends are repeated until settled, but each was told once per link. The runner lists it until it is settled, and the executor saw that and said nothing.

Now what a look lists and the owner has not settled is reported again each kReportAgain (1 s). The owner ignores ends whose number it has processed.

The new test failed before:

executor_reports_test.cc:121: Failure Expected: (Sent<RunReports>().size()) >= (4), actual: 1 vs 4 [ FAILED ] ExecutorReportsTest.EndThatStaysUnsettledIsReportedAgain

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -314,6 +314,7 @@
   uint64_t settled_ = 0;  // Ends that may be forgotten.
   uint64_t highest_listed_ = 0;
   uint64_t reported_ = 0;  // Ends up to here were sent on this link.
+  TimePoint reported_at_{};
   int looks_open_ = 0;
   bool slow_look_open_ = false;
   TimePoint next_look_{};
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -21,6 +21,10 @@
 constexpr Duration kUnsettledPause = std::chrono::milliseconds(70);
 constexpr Duration kLostPause = std::chrono::milliseconds(250);
 constexpr int kMaxLooksOpen = 2;
+// Ends that are not settled are reported again this often: the report may have
+// been of no use to the owner, or its word that they are settled be lost. It
+// settles them within some 0.3 s while the table answers.
+constexpr Duration kReportAgain = std::chrono::seconds(1);
 
 // Looks may be answered in another order than they were sent, so this may be
 // less than what an earlier view listed.
@@ -135,6 +139,7 @@
   AddPastLives(inventory);
   inventory_wanted_ = false;
   reported_ = HighestOf(view.ended);
+  reported_at_ = hooks_.now();
   SendToOwner(inventory);
   // Asks for a lease at once.
   last_heartbeat_ = hooks_.now();
@@ -168,12 +173,17 @@
 }
 
 void Executor::ReportEnds(const RunnerView& view) {
+  if (!owner_link_) return;
+  const TimePoint now = hooks_.now();
+  const bool again = now - reported_at_ >= kReportAgain;
+  const uint64_t known = again ? settled_ : std::max(reported_, settled_);
   RunReports reports{epoch_, status_.life, {}, {}, {}};
   for (const RunEnd& end : view.ended) {
-    if (end.number > reported_) reports.ended.push_back(end);
+    if (end.number > known) reports.ended.push_back(end);
   }
-  if (reports.ended.empty() || !owner_link_) return;
+  if (reports.ended.empty()) return;
   reported_ = HighestOf(view.ended);
+  reported_at_ = now;
   SendToOwner(reports);
 }
 
--- a/beamhill/executor/executor_reports_test.cc
+++ b/beamhill/executor/executor_reports_test.cc
@@ -103,5 +103,29 @@
   EXPECT_THAT(told, SizeIs(1));
 }
 
+// The owner may have been unable to use the report, or to send its answer.
+TEST_F(ExecutorReportsTest, EndThatStaysUnsettledIsReportedAgain) {
+  Register("life-1");
+  Attach(1);
+  const RunEnd end{1, kRun, RunEndKind::kDone, ""};
+  const auto list_for = [&](Duration time) {
+    const TimePoint until = now_ + time;
+    while (now_ < until) {
+      AnswerLook({}, {end});
+      Pass(milliseconds(100));
+    }
+  };
+  list_for(milliseconds(900));
+  EXPECT_THAT(Sent<RunReports>(), SizeIs(1));
+  list_for(milliseconds(4000));
+  EXPECT_GE(Sent<RunReports>().size(), 4);
+  EXPECT_LE(Sent<RunReports>().size(), 6);
+  EXPECT_EQ(Sent<RunReports>().back().ended.size(), 1);
+  executor_->OnMessage(kLink, EndsSettled{1, "life-1", 1});
+  sent_.clear();
+  list_for(milliseconds(2000));  // The runner is slow to forget it.
+  EXPECT_THAT(Sent<RunReports>(), IsEmpty());
+}
+
 }  // namespace
 }  // namespace beamhill
