VM registration: a VM that goes for good takes its row along, whatever was lost

What callers see: after a takeover, work of the earlier owner waits for a VM that is gone for good, and owners dial it for ever.

Cause: a withdrawal removed the row only under the version that this process had last seen in place. A row whose store was still open, or had been carried out without an answer, was left; so was one whose removal was not answered. No one else removes rows of VMs.

Now a withdrawal waits for an open call, reads the row, removes it as it is if it is this VM's, and looks again, kMostRemovals (3) times at most, when the table does not say what became of the removal. One that can't be read ends the withdrawal at once, as before.

The new tests failed before:

vm_registration_test.cc:174: Failure Value of: table_.model().rows().empty() Actual: false Expected: true [ FAILED ] VmRegistrationTest.RowWhoseStoreWasNotAnsweredGoesWithTheVm vm_registration_test.cc:196: Failure (same values) [ FAILED ] VmRegistrationTest.RowThatIsBeingStoredGoesWithTheVm vm_registration_test.cc:217: Failure (same values) [ FAILED ] VmRegistrationTest.RemovalThatGotLostIsRepeated

WithdrawalLeavesTheRowOfALaterProcess passed before and guards the new read.

--- a/beamhill/executor/vm_registration.cc
+++ b/beamhill/executor/vm_registration.cc
@@ -15,6 +15,8 @@
 constexpr Duration kUnowned = std::chrono::seconds(3);
 // And is looked at this often while that lasts.
 constexpr Duration kLookInterval = std::chrono::seconds(10);
+// Removals of a row, each after a look, while it is not known to be gone.
+constexpr int kMostRemovals = 3;
 
 }  // namespace
 
@@ -37,7 +39,10 @@
   table_.read({key_},
               lifetime_.Guard([this](const Result<std::vector<Row>>& rows) {
                 busy_ = false;
-                if (withdrawn_) return;
+                if (withdrawn_) {
+                  RemoveRows();
+                  return;
+                }
                 if (!IsOk(rows)) {
                   TryAgain(ErrorOf(rows).message);
                   return;
@@ -66,6 +71,10 @@
   table_.commit(std::move(transaction),
                 lifetime_.Guard([this](const CommitAnswer& answer) {
                   busy_ = false;
+                  if (withdrawn_) {
+                    RemoveRows();
+                    return;
+                  }
                   if (answer.result != CommitResult::kCommitted) {
                     TryAgain("not stored");
                     return;
@@ -93,40 +102,51 @@
 
 void VmRegistration::Withdraw(std::function<void()> done) {
   withdrawn_ = true;
-  if (version_ == 0) {
-    RemoveEarlierRow(std::move(done));
-    return;
-  }
-  Remove(key_, version_, [this, done] { RemoveEarlierRow(done); });
+  on_withdrawn_ = std::move(done);
+  // A call that is open may yet store the row.
+  if (!busy_) RemoveRows();
 }
 
-void VmRegistration::RemoveEarlierRow(std::function<void()> done) {
-  table_.read({earlier_key_},
-              lifetime_.Guard([this, done = std::move(done)](
-                                  const Result<std::vector<Row>>& rows) {
-                if (!IsOk(rows) || ValueOf(rows).front().version == 0) {
-                  done();
-                  return;
-                }
-                Remove(earlier_key_, ValueOf(rows).front().version, done);
-              }));
+void VmRegistration::RemoveRows() {
+  RemoveRow(key_, kMostRemovals,
+            [this] { RemoveRow(earlier_key_, kMostRemovals, on_withdrawn_); });
+}
+
+void VmRegistration::RemoveRow(const std::string& key, int tries,
+                               std::function<void()> done) {
+  table_.read({key}, lifetime_.Guard([this, key, tries, done = std::move(done)](
+                                         const Result<std::vector<Row>>& rows) {
+    const Row* row = IsOk(rows) ? &ValueOf(rows).front() : nullptr;
+    const bool there = row != nullptr && row->version != 0;
+    // A later process on the VM may have stored another address.
+    const bool ours = there && (key == earlier_key_ || row->value == value_);
+    if (!ours) {
+      done();
+      return;
+    }
+    Remove(key, row->version, tries, done);
+  }));
 }
 
 // Under its version: should this take effect late, it can't remove what a later
 // process on the VM has written.
-void VmRegistration::Remove(const std::string& key, uint64_t version,
+void VmRegistration::Remove(const std::string& key, uint64_t version, int tries,
                             std::function<void()> done) {
   Transaction transaction;
   transaction.writes.push_back({key, version, std::nullopt});
   table_.commit(
       std::move(transaction),
-      lifetime_.Guard(
-          [this, key, done = std::move(done)](const CommitAnswer& answer) {
-            const bool removed = answer.result == CommitResult::kCommitted;
-            hooks_.log("vm_unregistered",
-                       key + (removed ? ", stored" : ", not known to be"));
-            done();
-          }));
+      lifetime_.Guard([this, key, tries,
+                       done = std::move(done)](const CommitAnswer& answer) {
+        const bool removed = answer.result == CommitResult::kCommitted;
+        hooks_.log("vm_unregistered",
+                   key + (removed ? ", stored" : ", not known to be"));
+        if (answer.result == CommitResult::kUnknown && tries > 1) {
+          RemoveRow(key, tries - 1, done);
+        } else {
+          done();
+        }
+      }));
 }
 
 }  // namespace beamhill
--- a/beamhill/executor/vm_registration.h
+++ b/beamhill/executor/vm_registration.h
@@ -53,8 +53,10 @@
   void Store(uint64_t version);
   void OnStored();
   void TryAgain(const std::string& why);
-  void RemoveEarlierRow(std::function<void()> done);
-  void Remove(const std::string& key, uint64_t version,
+  void RemoveRows();
+  // Removes the row if it is this VM's, as it is when looked at.
+  void RemoveRow(const std::string& key, int tries, std::function<void()> done);
+  void Remove(const std::string& key, uint64_t version, int tries,
               std::function<void()> done);
 
   std::string key_;
@@ -64,6 +66,7 @@
   VmRegistrationHooks hooks_;
   bool busy_ = false;  // A call is open.
   bool withdrawn_ = false;
+  std::function<void()> on_withdrawn_;
   uint64_t version_ = 0;  // Of the row as it should be; 0: not known to be so.
   TimePoint next_look_{};
   Duration pause_{};
--- a/beamhill/executor/vm_registration_test.cc
+++ b/beamhill/executor/vm_registration_test.cc
@@ -3,6 +3,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -158,5 +159,75 @@
   EXPECT_TRUE(done);
 }
 
+// Owners would dial the VM for good, and each new one would wait for it.
+TEST_F(VmRegistrationTest, RowWhoseStoreWasNotAnsweredGoesWithTheVm) {
+  table_.LoseNextCommitAnswer();
+  const auto registration = Make("10.0.0.1:1");
+  registration->Tick();
+  table_.Deliver();
+  ASSERT_FALSE(registration->stored());
+  ASSERT_EQ(AddressIn(kKey), "10.0.0.1:1");
+  bool done = false;
+  registration->Withdraw([&] { done = true; });
+  table_.Deliver();
+  EXPECT_TRUE(done);
+  EXPECT_TRUE(table_.model().rows().empty());
+}
+
+TEST_F(VmRegistrationTest, RowThatIsBeingStoredGoesWithTheVm) {
+  Table slow = table_.AsTable();
+  std::vector<std::function<void()>> held;
+  slow.commit = [&held, commit = slow.commit](Transaction transaction,
+                                              CommitDone done) {
+    held.push_back([commit, transaction, done] { commit(transaction, done); });
+  };
+  const auto registration = Make("10.0.0.1:1", slow);
+  registration->Tick();
+  table_.Deliver();
+  ASSERT_EQ(held.size(), 1);
+  bool done = false;
+  registration->Withdraw([&] { done = true; });
+  table_.Deliver();
+  for (size_t i = 0; i < held.size(); ++i) {
+    held[i]();
+    table_.Deliver();
+  }
+  EXPECT_TRUE(done);
+  EXPECT_TRUE(table_.model().rows().empty());
+}
+
+TEST_F(VmRegistrationTest, RemovalThatGotLostIsRepeated) {
+  Table losing = table_.AsTable();
+  bool lose = false;
+  losing.commit = [&lose, commit = losing.commit](Transaction transaction,
+                                                  const CommitDone& done) {
+    if (std::exchange(lose, false)) {
+      done({CommitResult::kUnknown, {}});
+    } else {
+      commit(std::move(transaction), done);
+    }
+  };
+  const auto registration = Make("10.0.0.1:1", losing);
+  Pass(seconds(1), *registration);
+  lose = true;
+  bool done = false;
+  registration->Withdraw([&] { done = true; });
+  table_.Deliver();
+  EXPECT_TRUE(done);
+  EXPECT_TRUE(table_.model().rows().empty());
+}
+
+TEST_F(VmRegistrationTest, WithdrawalLeavesTheRowOfALaterProcess) {
+  const auto first = Make("10.0.0.1:1");
+  Pass(seconds(1), *first);
+  const auto next = Make("10.0.0.2:1");
+  Pass(seconds(1), *next);
+  bool done = false;
+  first->Withdraw([&] { done = true; });
+  table_.Deliver();
+  EXPECT_TRUE(done);
+  EXPECT_EQ(AddressIn(kKey), "10.0.0.2:1");
+}
+
 }  // namespace
 }  // namespace beamhill
