Scheduler: while alone, ask other peers when those that were asked know nothing

What callers see: a scheduler that the table turns away refuses submissions and keeps old settings for the whole outage, though peers know better.

Cause: a scheduler that hears neither the table nor an owner draws three peers and dialed only them, again and again, until it was not alone any more. If all three were down, or as alone as itself, nobody else was ever asked.

Now, when the table has answered none of them for kQueryRound (1.5 s), the next three are asked, in a drawn order, until all were. One that the table answers is kept: it tells of each change as it comes. Of 11 schedulers each is asked within 6 s.

The comments on notices said that they are repeated until confirmed. They are sent once on each link; what an owner could not take yet it finds by its marker in the table, right after it has loaded and each 0.8 s.

The new test AsksOthersWhileTheTableAnswersNoneThatWereAsked failed before:

scheduler_test.cc:135: Failure Value of: RunUntil(seconds(6), [&] { return asked_.size() == 5; }) Actual: false Expected: true 3 were asked

StaysWithAPeerThatTheTableAnswers passed before and guards what must stay.

--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -152,13 +152,16 @@
   // Tells every scheduler that this process knows of that it owns the work.
   // The row says the same, but not to those that the table turns away.
   void Announce();
-  // Sends a notice to each owner until one confirms it under the key: the
-  // workflow's id for a new workflow, its CancelKey for a cancellation.
+  // Sends a notice on each link to an owner until one confirms it under the
+  // key: the workflow's id for a new workflow, its CancelKey for a
+  // cancellation. One that an owner could not take yet is found by its marker
+  // in the table.
   void Notify(const DispatchMessage& message, const std::string& key);
   void SendNotices();
   void DropOldNotices(TimePoint now);
   // While neither the table nor an owner is heard, asks other schedulers for
-  // newer service settings and for the owner.
+  // newer service settings and for the owner: some at a time, and others while
+  // the table answers none of these either.
   void QueryPeers(TimePoint now);
   DialedPeersHooks QueryHooks();
   void OnQueryAnswer(const DispatchMessage& message);
@@ -218,6 +221,9 @@
   std::optional<TimePoint> peer_served_since_;
   TimePoint probed_at_{};
   DialedPeers queries_;  // While neither the table nor an owner is heard.
+  std::vector<Address> unasked_;  // The next of them.
+  // When they were dialed, or one that the table answers has answered.
+  TimePoint query_helped_at_{};
   // Addresses of schedulers, as the owner told them.
   std::set<std::string> known_peers_;
   // Links on which this process makes its ownership known.
--- a/beamhill/scheduler/scheduler_peers.cc
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -24,6 +24,8 @@
 // other schedulers are asked, so many at a time.
 constexpr Duration kAloneAfter = std::chrono::milliseconds(900);
 constexpr size_t kQueriedPeers = 3;
+// When none of them has been served by the table for so long, the next are.
+constexpr Duration kQueryRound = std::chrono::milliseconds(1500);
 // Addresses of others in an owner's heartbeat: of 184 schedulers each is told
 // within 7 s.
 constexpr size_t kPeersOfHeartbeat = 8;
@@ -134,7 +136,7 @@
   } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
     hooks_.on_settings_copy(copy->version, copy->document);
   } else if (const auto* stored = std::get_if<WorkflowStored>(&message)) {
-    if (!owner_ || !owner_->loaded()) return;  // Repeated until confirmed.
+    if (!owner_ || !owner_->loaded()) return;  // Its marker is found.
     owner_->OnWorkflowStored(stored->workflow);
     send(NoticeTaken{stored->workflow.id});
   } else if (const auto* cancel = std::get_if<CancelStored>(&message)) {
@@ -174,20 +176,25 @@
                      now - owner_heard_at_ >= kAloneAfter;
   if (!alone) {
     queries_.Clear();
+    unasked_.clear();
     return;
   }
-  if (!queries_.empty()) {
+  if (!queries_.empty() && now - query_helped_at_ < kQueryRound) {
     queries_.CloseIfSilent(kAloneAfter);
     return;
   }
-  std::vector<Address> addresses = KnownAddresses();
-  std::shuffle(addresses.begin(), addresses.end(), random_);
-  if (addresses.size() > kQueriedPeers) addresses.resize(kQueriedPeers);
-  for (const Address& address : addresses) {
+  query_helped_at_ = now;
+  queries_.Clear();
+  if (unasked_.empty()) {
+    unasked_ = KnownAddresses();
+    std::shuffle(unasked_.begin(), unasked_.end(), random_);
+  }
+  for (size_t i = 0; i < kQueriedPeers && !unasked_.empty(); ++i) {
     Log(LogLevel::kInfo, "asking_peer",
-        {{"peer", ToString(address)},
+        {{"peer", ToString(unasked_.back())},
          {"settings_version", hooks_.settings_version()}});
-    queries_.Dial(address);
+    queries_.Dial(unasked_.back());
+    unasked_.pop_back();
   }
 }
 
@@ -203,6 +210,7 @@
     hooks_.on_settings_copy(copy->version, copy->document);
   } else if (const auto* beat = std::get_if<SchedulerHeartbeat>(&message)) {
     hooks_.on_evacuations_copy(beat->evacuations);
+    if (beat->store_silence < kAloneAfter) query_helped_at_ = BootClock::now();
   } else if (const auto* announced = std::get_if<OwnerAnnounced>(&message)) {
     keeper_->OnOwnerAnnounced(announced->record);
   }
--- /dev/null
+++ b/beamhill/scheduler/scheduler_test.cc
@@ -0,0 +1,147 @@
+// A Scheduler over a table in memory, among peers that the test plays over
+// loopback.
+#include "beamhill/scheduler/scheduler.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "beamhill/event/event_loop.h"
+#include "beamhill/link/link.h"
+#include "beamhill/testing/faulty_table.h"
+
+namespace beamhill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr uint64_t kOwnerIncarnation = 7;
+
+class SchedulerTest : public testing::Test {
+ protected:
+  SchedulerTest() {
+    deliver_ = loop_->Every(milliseconds(1), [this] { table_.Deliver(); });
+  }
+
+  // A peer that answers heartbeats as that one; counts whoever dials it.
+  std::unique_ptr<LinkListener> Listen(const std::string& name) {
+    auto listener =
+        LinkListener::Listen(*loop_, {"127.0.0.1", 0}, [this, name](Link&) {
+          asked_.insert(name);
+          LinkHooks hooks;
+          hooks.on_message = [this, name](Link& link, std::string_view frame) {
+            const auto message = ValueOf(DecodeDispatch(frame));
+            if (std::holds_alternative<SchedulerHeartbeat>(message)) {
+              link.Send(EncodeDispatch(AnswerOf(name)));
+              owner_answered_ += name == "owner" ? 1 : 0;
+            }
+          };
+          hooks.on_close = [](Link&) {};
+          return hooks;
+        });
+    return std::move(ValueOf(listener));
+  }
+
+  SchedulerHeartbeat AnswerOf(const std::string& name) const {
+    SchedulerHeartbeat beat;
+    beat.name = name;
+    if (name == "owner") {
+      beat.incarnation = kOwnerIncarnation;
+      beat.epoch = 1;
+      beat.known_epoch = 1;
+      beat.peers = peer_addresses_;
+    } else {
+      beat.store_silence = peers_store_silence_;
+    }
+    return beat;
+  }
+
+  void StartScheduler() {
+    SchedulerHooks hooks;
+    hooks.store_silence = [this] { return store_silence_; };
+    hooks.settings_version = [] { return uint64_t{0}; };
+    hooks.settings_document = [] { return std::string(); };
+    hooks.on_settings_copy = [](uint64_t, const std::string&) {};
+    hooks.evacuations = [this]() -> const Evacuations& { return evacuations_; };
+    hooks.on_evacuations_copy = [](const Evacuations&) {};
+    SchedulerSettings settings;
+    settings.name = "follower";
+    settings.peers = {"127.0.0.1", 0};
+    scheduler_ = std::move(ValueOf(Scheduler::Start(
+        *loop_, settings, table_.AsTable(), std::move(hooks), metrics_)));
+  }
+
+  // A scheduler that knows so many peers and has lost its owner and the table.
+  void LeaveAloneAmong(int peers) {
+    for (int i = 0; i < peers; ++i) {
+      peers_.push_back(Listen("peer-" + std::to_string(i)));
+      peer_addresses_.push_back(AddressOf(*peers_.back()));
+    }
+    auto owner = Listen("owner");
+    OwnerRecord record;
+    record.epoch = 1;
+    record.owner = "owner";
+    record.incarnation = kOwnerIncarnation;
+    record.address = AddressOf(*owner);
+    table_.model().Commit({{}, {{rows::kOwner, 0, EncodeRecord(record)}}});
+    StartScheduler();
+    ASSERT_TRUE(RunUntil(seconds(5), [&] { return owner_answered_ > 0; }));
+    RunUntil(milliseconds(100), [] { return false; });
+    table_.set_fault(TableFault::kDown);
+    store_silence_ = seconds(2);
+    owner.reset();
+    asked_.clear();
+  }
+
+  static std::string AddressOf(const LinkListener& listener) {
+    return "127.0.0.1:" + std::to_string(listener.port());
+  }
+
+  bool RunUntil(Duration patience, const std::function<bool()>& done) {
+    const Timer poll = loop_->Every(milliseconds(5), [&] {
+      if (done()) loop_->Stop();
+    });
+    const Timer end = loop_->After(patience, [this] { loop_->Stop(); });
+    loop_->Run();
+    return done();
+  }
+
+  std::unique_ptr<EventLoop> loop_ = std::move(ValueOf(EventLoop::Create()));
+  FaultyTable table_;
+  Metrics metrics_;
+  Evacuations evacuations_;
+  Duration store_silence_{};
+  Duration peers_store_silence_{};
+  std::set<std::string> asked_;  // Names of those that were dialed.
+  int owner_answered_ = 0;       // Heartbeats.
+  std::vector<std::string> peer_addresses_;
+  std::vector<std::unique_ptr<LinkListener>> peers_;
+  std::unique_ptr<Scheduler> scheduler_;
+  Timer deliver_;
+};
+
+// Those that were drawn first may be down, or as alone as itself: while only
+// they were asked, it missed settings and the next owner until the table
+// answered again.
+TEST_F(SchedulerTest, AsksOthersWhileTheTableAnswersNoneThatWereAsked) {
+  peers_store_silence_ = seconds(2);
+  LeaveAloneAmong(5);
+  EXPECT_TRUE(RunUntil(seconds(6), [&] { return asked_.size() == 5; }))
+      << asked_.size() << " were asked";
+}
+
+// It tells of each change as it comes.
+TEST_F(SchedulerTest, StaysWithAPeerThatTheTableAnswers) {
+  LeaveAloneAmong(5);
+  EXPECT_FALSE(RunUntil(seconds(4), [&] { return asked_.size() > 3; }));
+  EXPECT_EQ(asked_.size(), 3);
+}
+
+}  // namespace
+}  // namespace beamhill
