--- a/beamhill/dispatch/ownership_keeper_test.cc
+++ b/beamhill/dispatch/ownership_keeper_test.cc
@@ -264,6 +264,17 @@
   EXPECT_THAT(b.taken, ElementsAre(2));
 }
 
+// It was heard until then, and its word is sent to one peer only, once.
+TEST_F(OwnershipKeeperTest, HandedOverRowIsTakenSoonThoughNobodyIsTold) {
+  Node& a = Add("a", 1);
+  Node& b = Add("b", 2);
+  Pass(seconds(1), {&a, &b});
+  b.keeper->OnOwnerHeard(1);
+  a.keeper->HandOverTo();
+  Pass(milliseconds(2900), {&a, &b});
+  EXPECT_THAT(b.taken, ElementsAre(2));
+}
+
 TEST_F(OwnershipKeeperTest, ReleaseWaitsForTheTransactionInFlight) {
   Node& a = Add("a", 1);
   Node& b = Add("b", 2);
