Executor: give a pace again when an older order is answered after a newer one

What callers see: a best-effort task that crawls at a tenth of its pace, or one that works at full speed beside a serving task while it counts as held back, until something else changes its pace.

Cause: an order without an answer for 0.2 s is repeated or replaced while it is still open. A runner that was slow may carry out the older one last. Its answer counted as that of the newer order, which was believed to hold from then on. Looks show it only for a filler that works though it was ordered to rest, or that rests though it was ordered half its pace or more.

Now orders are numbered as they leave. An answer to one that is not the newest means that it is not known what the filler works at, and the next look has it ordered anew.

The new test failed before:

executor_test.cc:422: Failure Value of: paces_ Expected: size is equal to 3 Actual: { ... }, whose size 2 doesn't match [ FAILED ] ExecutorTest.PaceThatIsAnsweredAfterANewerOneIsFollowedByAnother

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -149,7 +149,8 @@
     // that an earlier run of this process has paced.
     int percent = kWholePercent;
     TimePoint ordered_at{};
-    bool answered = true;  // The last order is.
+    bool answered = true;    // The last order is.
+    uint64_t last_sent = 0;  // Number of the last order that left.
   };
 
   void OnAttach(uint64_t link, const Attach& attach);
@@ -265,7 +266,9 @@
   void PaceNewFiller(const RunRef& run);
   void OrderPace(const RunRef& run, int percent);
   void SendPaces();
-  void OnPaceReply(const RunRef& run, const RunnerReply& reply);
+  // `number` is that of the order, in the order in which they left.
+  void OnPaceReply(const RunRef& run, uint64_t number,
+                   const RunnerReply& reply);
   // One tail for each serving image, the worst: its tasks on a VM share fate.
   void ReportPressure(const std::vector<ServingSample>& serving,
                       const Pacer::FillingShares& filling, TimePoint now);
--- a/beamhill/executor/executor_pacing.cc
+++ b/beamhill/executor/executor_pacing.cc
@@ -174,25 +174,30 @@
       continue;
     }
     it->second.ordered_at = hooks_.now();
-    ++counts_.paces;
+    const uint64_t number = ++counts_.paces;
+    it->second.last_sent = number;
     runner_.pace({status_.life, epoch_, run, next->call.percent},
-                 lifetime_.Guard(
-                     [this, run, caller = PresentCaller()](RunnerReply reply) {
-                       pace_lane_.OnDone();
-                       if (IsPresent(caller)) OnPaceReply(run, reply);
-                       SendPaces();
-                     }));
+                 lifetime_.Guard([this, run, number,
+                                  caller = PresentCaller()](RunnerReply reply) {
+                   pace_lane_.OnDone();
+                   if (IsPresent(caller)) OnPaceReply(run, number, reply);
+                   SendPaces();
+                 }));
   }
 }
 
-void Executor::OnPaceReply(const RunRef& run, const RunnerReply& reply) {
+void Executor::OnPaceReply(const RunRef& run, uint64_t number,
+                           const RunnerReply& reply) {
   NoteClock(reply.clock);
   const auto it = paced_.find(run);
   if (it == paced_.end()) return;
-  it->second.answered = true;
-  // Unknown what it works at: order it again.
-  if (reply.verdict != RunnerVerdict::kDone) {
-    it->second.percent = kUnknownPercent;
+  Paced& paced = it->second;
+  const bool newest = number == paced.last_sent;
+  if (newest) paced.answered = true;
+  // Unknown what it works at: order it again. An older order may have been
+  // carried out after a newer one.
+  if (!newest || reply.verdict != RunnerVerdict::kDone) {
+    paced.percent = kUnknownPercent;
   }
 }
 
--- a/beamhill/executor/executor_test.cc
+++ b/beamhill/executor/executor_test.cc
@@ -398,6 +398,35 @@
   EXPECT_EQ(paces_[1].first.percent, 10);
 }
 
+// It was slow, and may have been carried out after the newer one: the filler
+// would crawl while it counts as being at its whole pace, and no look shows it.
+TEST_F(ExecutorTest, PaceThatIsAnsweredAfterANewerOneIsFollowedByAnother) {
+  Register("life-1");
+  Attach(1);
+  Start(kRun, 1, {}, /*fills=*/true);
+  AnswerAll(starts_);
+  const RunRef other{{"other", 0, 0, 0}, 1};
+  Pass(milliseconds(300));
+  AnswerLook({{kRun, 100, 0}, {other, 100, 8000}});
+  Pass(milliseconds(300));
+  AnswerLook({{kRun, 100, 0}, {other, 100, 1000}});
+  ASSERT_THAT(paces_, SizeIs(2));
+  EXPECT_EQ(paces_[0].first.percent, 10);
+  EXPECT_EQ(paces_[1].first.percent, 100);
+  paces_[1].second({RunnerVerdict::kDone, std::nullopt});
+  paces_[0].second({RunnerVerdict::kDone, std::nullopt});
+  for (int i = 0; i < 10 && paces_.size() < 3; ++i) {
+    Pass(milliseconds(300));
+    AnswerLook({{kRun, 100, 200}, {other, 100, 1000}});
+  }
+  ASSERT_THAT(paces_, SizeIs(3));
+  EXPECT_EQ(paces_[2].first.percent, 100);
+  paces_[2].second({RunnerVerdict::kDone, std::nullopt});
+  Pass(milliseconds(300));
+  AnswerLook({{kRun, 100, 2000}, {other, 100, 1000}});
+  EXPECT_THAT(paces_, SizeIs(3));
+}
+
 // An order that was carried out late undoes a newer one: the next looks show
 // it.
 TEST_F(ExecutorTest, FillerThatWorksThoughItRestsIsOrderedAgain) {
