Executor: tell the owner once nothing is paced any more

What callers see: best-effort work that waits though a VM is empty.

Cause: an executor reports the paces of its fillers while it sees some, or a serving task. When the last of them went while an image was held back, nothing more was said, and the owner places no filler of that image on a VM where its last report says that it would be held back.

Now the first look on each link that shows nothing to be paced, and the first after something was, is reported with empty lists, which the owner takes for "nothing is held back here".

The new test failed before:

executor_reports_test.cc:145: Failure Value of: Sent<VmPressure>() Expected: size is equal to 1 Actual: {}, whose size 0 doesn't match [ FAILED ] ExecutorReportsTest.PressureOfTasksThatAreGoneIsTakenBackOnEachLink

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -314,7 +314,8 @@
   Pacer pacer_;
   PacePolicy pace_policy_ = PacePolicy::kCautious;
   TimePoint pressure_sent_at_{};
-  uint64_t settled_ = 0;  // Ends that may be forgotten.
+  bool calm_told_ = false;  // On this link: nothing is paced any more.
+  uint64_t settled_ = 0;    // Ends that may be forgotten.
   uint64_t highest_listed_ = 0;
   uint64_t reported_ = 0;  // Ends up to here were sent on this link.
   TimePoint reported_at_{};
--- a/beamhill/executor/executor_looks.cc
+++ b/beamhill/executor/executor_looks.cc
@@ -140,6 +140,7 @@
   inventory_wanted_ = false;
   reported_ = HighestOf(view.ended);
   reported_at_ = hooks_.now();
+  calm_told_ = false;
   SendToOwner(inventory);
   // Asks for a lease at once.
   last_heartbeat_ = hooks_.now();
--- a/beamhill/executor/executor_pacing.cc
+++ b/beamhill/executor/executor_pacing.cc
@@ -85,7 +85,10 @@
 
 void Executor::Pace(const RunnerView& view, TimePoint sent_at, TimePoint now) {
   const PacingView seen = ViewForPacing(view);
-  if (seen.serving.empty() && seen.fillers.empty()) return;
+  if (seen.serving.empty() && seen.fillers.empty()) {
+    if (!calm_told_) ReportPressure({}, {}, now);
+    return;
+  }
   pacer_.Observe(seen.serving, seen.filling, seen.fillers_work, now);
   NotePaces(view, sent_at, now);
   ReportPressure(seen.serving, seen.filling, now);
@@ -221,6 +224,7 @@
     pressure.filling.push_back(
         {image, static_cast<int64_t>(cpu), pacer_.PercentOf(image)});
   }
+  calm_told_ = owner_link_ && serving.empty() && filling.empty();
   SendToOwner(pressure);
 }
 
--- a/beamhill/executor/executor_reports_test.cc
+++ b/beamhill/executor/executor_reports_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 using testing::Contains;
 using testing::IsEmpty;
 using testing::Not;
@@ -127,5 +128,29 @@
   EXPECT_THAT(Sent<RunReports>(), IsEmpty());
 }
 
+// The owner places no filler of an image where it was last held back.
+TEST_F(ExecutorReportsTest, PressureOfTasksThatAreGoneIsTakenBackOnEachLink) {
+  FillBesideASufferingService();
+  ASSERT_THAT(Sent<VmPressure>(), Not(IsEmpty()));
+  EXPECT_LT(Sent<VmPressure>().back().filling[0].percent, 100);
+  const auto list_nothing_for = [this](Duration time) {
+    const TimePoint until = now_ + time;
+    while (now_ < until) {
+      AnswerLook();
+      Pass(milliseconds(100));
+    }
+  };
+  sent_.clear();
+  list_nothing_for(seconds(2));
+  ASSERT_THAT(Sent<VmPressure>(), SizeIs(1));
+  EXPECT_THAT(Sent<VmPressure>()[0].filling, IsEmpty());
+  executor_->OnLinkDown(kLink);
+  list_nothing_for(seconds(1));
+  executor_->OnMessage(kOtherLink, ::beamhill::Attach{"a", 1});
+  sent_.clear();
+  list_nothing_for(seconds(2));
+  EXPECT_THAT(Sent<VmPressure>(), SizeIs(1));
+}
+
 }  // namespace
 }  // namespace beamhill
