Executor: drop orders for a runner that is silent past its leases

What operators see: beamhill_oldest_stop_seconds that grows for good on a VM whose runner is gone, and three calls a second to nobody for each such stop.

Cause: once every lease is over, the executor reports an empty inventory and the owner lets its runs go. The executor's own orders stayed, and a stop is repeated until a runner takes it.

Now they are dropped at that moment. A start that is still on its way carries a lease end that has passed.

The new test failed before:

executor_losses_test.cc:150: Failure Expected equality of these values: executor_->OldestStop() Which is: 8-byte object <40-28 BA-00 00-00 00-00> Duration(0) [ FAILED ] ExecutorLossesTest.StopsOfARunnerThatIsSilentPastItsLeaseAreOver

RunnerThatLeftUnownedIsToldToTheNextOwner passed before: that a runner has left is told to the next owner once the last lease is over.

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -92,10 +92,14 @@
   }
 }
 
-void Executor::ResetLife() {
+void Executor::DropOrders() {
   orders_.clear();
   start_lane_.Clear();
   stop_lane_.Clear();
+}
+
+void Executor::ResetLife() {
+  DropOrders();
   pace_lane_.Clear();
   life_record_ = LifeRecord();
   paced_.clear();
@@ -204,9 +208,7 @@
     // has seen this one, and the inventory is asked for under this one. What
     // waits must not leave: a runner may check no epochs. Paces are of this
     // process's own making and go on.
-    orders_.clear();
-    start_lane_.Clear();
-    stop_lane_.Clear();
+    DropOrders();
     epoch_ = attach.epoch;
   }
   owner_link_ = link;
@@ -265,6 +267,7 @@
              status_.life + ": every lease that it was given is over");
   told_empty_ = true;
   KeepPastLife();
+  DropOrders();
   SendEmptyInventory();
 }
 
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -167,6 +167,8 @@
   // was seen of it for owners.
   void KeepPastLife();
   void ForgetPastLives(TimePoint now);
+  // Forgets the starts and stops that wait or are open.
+  void DropOrders();
   // Forgets all that belongs to one life of the runner.
   void ResetLife();
   void NoteClock(const std::optional<RunnerClock>& clock);
--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -129,6 +129,47 @@
   EXPECT_EQ(executor_->counts().runners_lost, 1);
 }
 
+// Its owner has let them go; the oldest stop would be a false alarm for good.
+TEST_F(ExecutorLossesTest, StopsOfARunnerThatIsSilentPastItsLeaseAreOver) {
+  Register("life-1");
+  Attach(1);
+  AnswerLook();
+  StartAnswered(Run(0), RunnerVerdict::kDone);
+  executor_->OnMessage(kLink, StopRuns{1, "life-1", {Run(0)}});
+  for (int i = 0; i < 120; ++i) {
+    for (auto& [call, done] : std::exchange(stops_, {})) {
+      done({RunnerVerdict::kUnreachable, std::nullopt});
+    }
+    LoseLooks();
+    Pass(milliseconds(100));
+  }
+  EXPECT_GE(executor_->OldestStop(), seconds(12));
+  executor_->OnMessage(kLink, ::beamhill::Attach{"a", 1});
+  Pass(milliseconds(200));
+  ASSERT_THAT(Sent<VmInventory>(), SizeIs(2));
+  EXPECT_EQ(executor_->OldestStop(), Duration(0));
+  const uint64_t stops = executor_->counts().stops;
+  Pass(seconds(3));
+  EXPECT_EQ(executor_->counts().stops, stops);
+}
+
+// The word of it went to nobody.
+TEST_F(ExecutorLossesTest, RunnerThatLeftUnownedIsToldToTheNextOwner) {
+  RunOneForLong();
+  executor_->OnLinkDown(kLink);
+  executor_->OnRunnerLeft("life-1");
+  for (int i = 0; i < 10; ++i) {
+    EndLooks(RunnerVerdict::kUnreachable);
+    Pass(milliseconds(100));
+  }
+  ASSERT_TRUE(executor_->runner_is_gone());
+  sent_.clear();
+  executor_->OnMessage(kLink, ::beamhill::Attach{"a", 1});
+  Pass(seconds(6));  // A lease and its margin.
+  ASSERT_THAT(Sent<VmInventory>(), SizeIs(1));
+  EXPECT_EQ(Sent<VmInventory>()[0].status.life, "");
+}
+
 // It was held up, answers once more, and goes down as the next run begins.
 TEST_F(ExecutorLossesTest, RunnerThatWasOnlySilentIsLostOnceMore) {
   Register("life-1");
