Settle an end again that its executor goes on reporting

An executor reports ends that stay unsettled again each second. For the owner such an end was settled already, so that the word for it was not repeated on a link that stands; only an inventory brought it about. Both ways of hearing of a listed end do the same now.

EndThatIsReportedAgainIsSettledAgain failed before (nothing was sent).

--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -13,6 +13,7 @@
 namespace {
 
 using dispatch_internal::FillerQueue;
+using dispatch_internal::HeldRun;
 using dispatch_internal::Vm;
 
 // A filler that is held below this pace for so long is moved to a VM where it
@@ -87,6 +88,12 @@
           within(after.accelerators, whole.accelerators));
 }
 
+// One that saves no progress only after it has had next to nothing for long.
+bool MayBeMoved(const HeldRun& held, const WorkflowStep& step, TimePoint now) {
+  if (step.gang) return false;
+  return step.saves_progress || now - *held.starved_since >= kHopelessAfter;
+}
+
 }  // namespace
 
 void Dispatcher::ForgetDerived(Vm& vm) {
@@ -212,12 +219,6 @@
   }
 }
 
-bool Dispatcher::MayBeMoved(const HeldRun& held, const WorkflowStep& step,
-                            TimePoint now) {
-  if (step.gang) return false;
-  return step.saves_progress || now - *held.starved_since >= kHopelessAfter;
-}
-
 void Dispatcher::MoveStarvedOf(const std::string& name, Vm& vm, TimePoint now) {
   int moves = 0;
   for (const RunRef& run : StarvedRuns(vm, now)) {
--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -9,6 +9,7 @@
 namespace beamhill {
 namespace {
 
+using dispatch_internal::Vm;
 constexpr Duration kLayoutInterval = std::chrono::milliseconds(1000);
 // Share of a VM that a filler is taken to have when it is asked whether it is
 // harmful to a serving image.
@@ -24,6 +25,12 @@
 // A task that began less long ago may still be warming up, and counts as away.
 constexpr Duration kAtWorkAfter = std::chrono::milliseconds(2500);
 
+ServingLayout::Images ServingOn(const Vm& vm) {
+  ServingLayout::Images images;
+  for (const auto& [image, serving] : vm.serving) images.insert(image);
+  return images;
+}
+
 }  // namespace
 
 double Dispatcher::FreeCores(const Vm& vm) {
@@ -34,12 +41,6 @@
   return (room - serving) / kMillisOfCore;
 }
 
-ServingLayout::Images Dispatcher::ServingOn(const Vm& vm) {
-  ServingLayout::Images images;
-  for (const auto& [image, serving] : vm.serving) images.insert(image);
-  return images;
-}
-
 void Dispatcher::UpdateDemand() {
   std::map<std::string, double> asked;
   for (const auto& [id, job] : jobs_) {
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -239,11 +239,7 @@
   // are not longer than ours.
   state.lease_bound = std::max(state.lease_bound, now + options_.lease_term);
   for (const RunEnd& end : inventory.ended) {
-    ApplyEnd(vm, state, end, now);
-    // What is still listed was not settled there, whatever was sent. An end
-    // that was not taken in must not be settled at all.
-    const bool taken_in = state.held.count(end.run) == 0;
-    if (taken_in) state.settled = std::min(state.settled, end.number - 1);
+    ApplyListedEnd(vm, state, end, now);
   }
   StopMissing(state, inventory, now);
   for (const RunRef& run : inventory.running) {
@@ -316,6 +312,15 @@
   TakeEnd(vm, end, now);
 }
 
+void Dispatcher::ApplyListedEnd(const std::string& name, Vm& vm,
+                                const RunEnd& end, TimePoint now) {
+  ApplyEnd(name, vm, end, now);
+  // What is still listed was not settled there, whatever was sent. An end that
+  // was not taken in must not be settled at all.
+  const bool taken_in = vm.held.count(end.run) == 0;
+  if (taken_in) vm.settled = std::min(vm.settled, end.number - 1);
+}
+
 // Only ends that say something of the task: a checkpoint of an earlier life may
 // be older than what is known by now.
 void Dispatcher::ApplyPastEnds(const std::string& name, Vm& vm,
@@ -385,7 +390,7 @@
       reports.life != state.status.life) {
     return;
   }
-  for (const RunEnd& end : reports.ended) ApplyEnd(vm, state, end, now);
+  for (const RunEnd& end : reports.ended) ApplyListedEnd(vm, state, end, now);
   for (const RunNotBegun& refused : reports.not_begun) {
     ApplyNotBegun(vm, state, refused, now);
   }
--- a/beamhill/dispatch/dispatch_stops_test.cc
+++ b/beamhill/dispatch/dispatch_stops_test.cc
@@ -121,6 +121,20 @@
   EXPECT_THAT(Take().settled, ElementsAre(Pair("vm-1", 1)));
 }
 
+// Its executor missed the word that it is settled, on a link that stands.
+TEST_F(DispatcherStopsTest, EndThatIsReportedAgainIsSettledAgain) {
+  Take({});
+  Link("vm-1");
+  dispatcher_->AddWorkflow(OneStep("w", 1, 2), std::nullopt, now_);
+  const RunRef run = Tick().starts.at(0).second;
+  End("vm-1", 1, run, RunEndKind::kDone);
+  ASSERT_TRUE(Store());
+  EXPECT_THAT(Take().settled, ElementsAre(Pair("vm-1", 1)));
+  End("vm-1", 1, run, RunEndKind::kDone);
+  Store();
+  EXPECT_THAT(Take().settled, ElementsAre(Pair("vm-1", 1)));
+}
+
 // A runner that doesn't tell when it started keeps its name over a restart, and
 // numbers its ends from 1 again.
 TEST_F(DispatcherStopsTest, EndThatWasNotTakenInIsNotSettled) {
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -230,6 +230,9 @@
   void LearnRunTime(const Job& job, const TaskRef& ref);
   void ApplyEnd(const std::string& name, Vm& vm, const RunEnd& end,
                 TimePoint now);
+  // The same, of an end that the runner still lists.
+  void ApplyListedEnd(const std::string& name, Vm& vm, const RunEnd& end,
+                      TimePoint now);
   // Takes in ends that an earlier life of the runner had listed, when its work
   // is not let go yet; they may be told more than once.
   void ApplyPastEnds(const std::string& name, Vm& vm, const PastLife& past,
@@ -293,8 +296,6 @@
   // The fillers that have got next to nothing for a while, the first in their
   // order first.
   std::vector<RunRef> StarvedRuns(Vm& vm, TimePoint now);
-  static bool MayBeMoved(const HeldRun& held, const WorkflowStep& step,
-                         TimePoint now);
   // Adds up the processors of each service's VMs.
   void RefreshRoom();
   // Notes since when workflows have had nothing at work.
@@ -308,7 +309,6 @@
   // In dispatch_layout.cc.
   // What serving tasks and others leave of the VM's processors.
   static double FreeCores(const Vm& vm);
-  static ServingLayout::Images ServingOn(const Vm& vm);
   void UpdateDemand();
   bool Harms(const std::string& filling, const std::string& serving) const;
   void RefreshLayout(TimePoint now);
