Cell owner: ask VMs that linked while its authority was over

What callers would see: after the table was away for longer than the ownership term, an entry that keeps its cell starts nothing there any more, stops that were lost with the earlier links are not sent again, and jobs whose ends were lost with them never finish.

Cause: `OnHello` sends no inventory request while the owner may not act, and takes an agent that it has heard before for confirmed. `RequestPendingInventories` passes over every confirmed agent, so that nobody asks it in that session. A lease that runs out makes agents dial anew, so all of them are met at once.

Mend: an agent carries whether it was asked in its session, and a confirmation asks each linked one that was not. Once a session, since links are in order and a second request would outdate the answer to the first.

--- a/beamhill/cell/cell_owner.cc
+++ b/beamhill/cell/cell_owner.cc
@@ -129,6 +129,7 @@
   agent.view.capacity = hello.capacity;
   agent.session = hello.session;
   agent.linked = true;
+  agent.asked = false;
   agent.answered = false;
   // A run of the agent that has obeyed this epoch remembers it, so no new
   // confirmation is needed when only its link was lost.
@@ -140,14 +141,17 @@
 
 void CellOwner::RequestInventory(Agent& agent) {
   ++agent.requested;
+  agent.asked = true;
   Send(agent, InventoryRequest{options_.cell, agent.confirmed, agent.requested,
                                FenceFor(agent)});
 }
 
 void CellOwner::RequestPendingInventories() {
   for (auto& [vm, agent] : agents_) {
-    if (!agent.linked || agent.confirmed) continue;
-    if (agent.hello_at > ownership_.confirmed_at) continue;
+    // One that linked while nothing could be sent has not been asked at all.
+    if (!agent.linked || (agent.confirmed && agent.asked)) continue;
+    const bool is_later = agent.hello_at > ownership_.confirmed_at;
+    if (!agent.confirmed && is_later) continue;
     agent.confirmed = true;
     RequestInventory(agent);
   }
--- a/beamhill/cell/cell_owner.h
+++ b/beamhill/cell/cell_owner.h
@@ -197,6 +197,7 @@
     Session session;
     bool linked = false;
     uint32_t requested = 0;  // Number of the last inventory request.
+    bool asked = false;      // For its inventory, in this session.
     bool answered = false;   // Inventory received in this session.
     bool confirmed = false;  // Asked after a confirmation past its Hello.
     bool in_durable_roster = false;
--- a/beamhill/cell/cell_owner_test.cc
+++ b/beamhill/cell/cell_owner_test.cc
@@ -202,5 +202,53 @@
   EXPECT_EQ(term_at(kStart + seconds(100)), std::nullopt);
 }
 
+// While the table was away for longer than the term, every agent dialled anew.
+// Nobody asked them what they hold once it was back: their VMs got no work, and
+// stops that had been lost with the earlier links were not sent again.
+TEST_F(CellOwnerTest, VmThatLinkedWhileAuthorityWasOverIsAskedOnceItIsBack) {
+  CellOwnerOptions options;
+  Take(options, 1);
+  owner_->OnRange(Job("lasting", "t", 2));
+  owner_->OnRange(Job("other", "t", 1));
+  Tick(kStart);
+  ASSERT_EQ(started_.size(), 3U);
+  const TimePoint back = kStart + options.ownership_term + seconds(1);
+  owner_->OnLinkDown("vm-1", {1, 1});
+  RangeRow cancelled = Job("lasting", "t", 2);
+  cancelled.cancelled = true;
+  owner_->OnRange(cancelled);
+  Hello hello;
+  hello.vm = "vm-1";
+  hello.capacity = kVm;
+  hello.session = {1, 2};
+  owner_->OnHello(hello, back);
+  owner_->OnOwnershipConfirmed(back + seconds(1));
+  std::vector<TaskId> stopped;
+  for (const AgentMessage& message : owner_->TakeMessages()) {
+    const auto* request = std::get_if<InventoryRequest>(&message.message);
+    if (request == nullptr) continue;
+    Inventory inventory{request->fence, request->number, {}, {}};
+    for (const auto& [task, placed] : started_) {
+      inventory.running.push_back({task, placed.attempt, {1000, 1000, 0}});
+    }
+    owner_->OnInventory("vm-1", inventory, back + seconds(1));
+  }
+  for (const AgentMessage& message : owner_->TakeMessages()) {
+    const auto* stop = std::get_if<StopTasks>(&message.message);
+    if (stop == nullptr) continue;
+    EXPECT_EQ(stop->mode, StopMode::kCancel);
+    for (const StopTask& task : stop->tasks) stopped.push_back(task.task);
+  }
+  const std::vector<TaskId> expected = {{"lasting", 0}, {"lasting", 1}};
+  EXPECT_EQ(stopped, expected);
+  // One request for each session: a second one would outdate the answer.
+  owner_->OnOwnershipConfirmed(back + seconds(2));
+  EXPECT_TRUE(owner_->TakeMessages().empty());
+  owner_->OnHeartbeat("vm-1", Heartbeat{Fence{1, {1, 2}}, back}, back);
+  owner_->OnRange(Job("new", "t", 1));
+  Tick(back + seconds(2));
+  EXPECT_EQ(started_.count({"new", 0}), 1U);
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/testing/coordination_test.cc
+++ b/beamhill/testing/coordination_test.cc
@@ -149,6 +149,9 @@
       {"an owner that woke took leases that its successor had renewed for "
        "lapsed",
        426964, AllFaults(), Ms(6000)},
+      {"agents that linked while their owner might not act were never asked "
+       "what they hold",
+       700000050, AllFaults(), Ms(6000)},
   };
   for (const Row& row : rows) {
     SimOptions options;
