Cell host: take a cell from an owner that no agent has heard of

What callers would see: a cell whose owner was lost twice in a row starts nothing any more, for good: no entry takes it until the second owner's entry starts again or an agent does.

Cause: an entry claims the row and is gone before it has asked any agent for its inventory. Agents go on reporting the owner that they know, of an earlier epoch, and `OwnerLooksLost` holds such reports against nobody.

Mend: they are held against the row's owner once its row has been known here for `unheard_for` (10 s), in which it must have spoken to agents. A healthy one that is slower than that loses the cell to a higher epoch, which is safe.

CellHostTest.CellIsTakenFromAnOwnerThatNoAgentHasHeardOf failed before: host_->owns(): Actual: false, Expected: true OwnRow().epoch: 2 instead of 3

--- a/beamhill/cell/cell_host.cc
+++ b/beamhill/cell/cell_host.cc
@@ -89,13 +89,16 @@
 }
 
 bool CellHost::OwnerLooksLost(TimePoint now) const {
+  // A report about an earlier owner than the row's says nothing about it, until
+  // agents should have heard of the row's.
+  const bool any_epoch = now >= row_epoch_since_ + options_.unheard_for;
   size_t reporting = 0;
   for (const auto& [vm, report] : reports_) {
     const bool fresh = now < report.last + options_.report_fresh_for;
     const bool lasting = now >= report.first + options_.suspect_for;
-    // A report about an earlier owner than the row's says nothing about it.
-    if (fresh && lasting && report.epoch >= row_epoch_) ++reporting;
-    if (fresh && lasting && report.epoch == 0) ++reporting;
+    const bool about_it =
+        any_epoch || report.epoch >= row_epoch_ || report.epoch == 0;
+    if (fresh && lasting && about_it) ++reporting;
   }
   return reporting * 2 > agents_.size();
 }
@@ -142,6 +145,7 @@
   row_read_ = true;
   const bool newer = current.epoch > row_epoch_;
   row_epoch_ = current.epoch;
+  if (newer) row_epoch_since_ = hooks_.now();
   const bool mine = current.owner == options_.entry &&
                     current.incarnation == options_.incarnation;
   if (mine && !current.released) {
@@ -194,6 +198,7 @@
 void CellHost::OnClaimed(uint64_t version, const Ownership& ownership) {
   row_version_ = version;
   row_epoch_ = ownership.epoch;
+  row_epoch_since_ = hooks_.now();
   ++counts_.takeovers;
   Load(ownership);
 }
--- a/beamhill/cell/cell_host.h
+++ b/beamhill/cell/cell_host.h
@@ -40,6 +40,8 @@
   // How long loss reports must last, and how fresh each must be.
   Duration suspect_for = std::chrono::milliseconds(1500);
   Duration report_fresh_for = std::chrono::milliseconds(2500);
+  // An owner that took the cell has so long until agents must have heard it.
+  Duration unheard_for = std::chrono::seconds(10);
   // After a failed table call the next waits between half of this and all of
   // it, doubled each time up to the maximum.
   Duration first_retry = std::chrono::milliseconds(200);
@@ -138,6 +140,7 @@
 
   uint64_t row_version_ = 0;
   uint64_t row_epoch_ = 0;
+  TimePoint row_epoch_since_{};  // When it was first read here.
   uint64_t progress_version_ = 0;
   uint64_t snapshot_sequence_ = 0;
   std::unique_ptr<CellOwner> owner_;
--- /dev/null
+++ b/beamhill/cell/cell_host_test.cc
@@ -0,0 +1,98 @@
+#include "beamhill/cell/cell_host.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "beamhill/testing/faulty_table.h"
+
+namespace beamhill {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kStart{std::chrono::hours(1)};
+constexpr Duration kTick = std::chrono::milliseconds(100);
+
+// One entry's host of the cell "c", with the table and agents played.
+class CellHostTest : public testing::Test {
+ protected:
+  CellHostTest() {
+    CellHostOptions options;
+    options.owner.cell = "c";
+    options.entry = "here";
+    options.incarnation = 7;
+    CellHostHooks hooks;
+    hooks.now = [this] { return now_; };
+    hooks.random = [] { return 0.5; };
+    hooks.claim_delay = [] { return Duration(0); };
+    host_ = std::make_unique<CellHost>(options, table_.AsTable(), hooks);
+  }
+
+  void Link(const std::string& vm) {
+    Hello hello;
+    hello.vm = vm;
+    hello.cell = "c";
+    hello.capacity = {4000, 8000, 0};
+    hello.session = {1, 1};
+    host_->OnHello(hello, now_);
+  }
+
+  uint64_t Write(const std::string& key, const std::string& value) {
+    Transaction write;
+    write.writes.push_back({key, kAnyVersion, value});
+    return table_.model().Commit(write).versions.front();
+  }
+
+  void OwnRow(const std::string& owner, uint64_t epoch) {
+    CellRow row;
+    row.owner = owner;
+    row.incarnation = 1;
+    row.epoch = epoch;
+    Write(CellKey("c"), EncodeRow(row));
+  }
+
+  CellRow OwnRow() {
+    CellRow row;
+    EXPECT_TRUE(
+        IsOk(DecodeRow(table_.model().Read({CellKey("c")})[0].value, &row)));
+    return row;
+  }
+
+  // Agents that report the owner of `epoch` as lost do so each second.
+  void Pass(Duration length, std::optional<uint64_t> lost_epoch = {}) {
+    for (const TimePoint end = now_ + length; now_ < end; now_ += kTick) {
+      if (lost_epoch && now_ >= next_report_) {
+        next_report_ = now_ + seconds(1);
+        for (const auto& [vm, hello] : host_->agents()) {
+          host_->OnAgentMessage(vm, OwnerLost{*lost_epoch}, now_);
+        }
+      }
+      host_->Tick(now_);
+      table_.Deliver();
+    }
+  }
+
+  TimePoint now_ = kStart;
+  TimePoint next_report_{};
+  FaultyTable table_;
+  std::unique_ptr<CellHost> host_;
+};
+
+// An entry took the cell and was gone before it had spoken to any agent. Their
+// reports named the owner before it, were held against nobody, and the cell
+// stood still for good.
+TEST_F(CellHostTest, CellIsTakenFromAnOwnerThatNoAgentHasHeardOf) {
+  OwnRow("gone", 2);
+  Link("vm-1");
+  Link("vm-2");
+  Pass(seconds(5), 1);
+  EXPECT_FALSE(host_->owns()) << "an owner that still loads is left alone";
+  Pass(seconds(10), 1);
+  EXPECT_TRUE(host_->owns());
+  EXPECT_EQ(OwnRow().epoch, 3U);
+  EXPECT_EQ(host_->counts().takeovers, 1U);
+}
+
+}  // namespace
+}  // namespace beamhill
