Cell host: tell an owner that loads later which VMs are gone

What callers would see: when a VM is lost together with its cell's owner, or while the next one loads, the VM's work waits until every lease that an owner before could have granted is over (20 minutes by default), instead of seconds.

Cause: the platform's list is compared with the one before it, so that a VM's end is told once, and a host that does not own its cell at that moment dropped the word.

Mend: the host keeps the VMs that the list dropped until the list shows them again or they say Hello, and tells an owner once it has loaded.

CellHostTest.VmThatTheListDroppedBeforeTheOwnerLoadedBlocksNothing failed before: unaccounted(): { "vm-1", "vm-2", "vm-3", "vm-4" } instead of { "vm-1", "vm-3", "vm-4" }

--- a/beamhill/cell/cell_host.cc
+++ b/beamhill/cell/cell_host.cc
@@ -8,6 +8,8 @@
 
 // Least time between two confirming reads.
 constexpr Duration kConfirmInterval = std::chrono::milliseconds(200);
+// Longer than any cell goes without an owner.
+constexpr Duration kRememberGone = std::chrono::hours(24);
 
 }  // namespace
 
@@ -20,6 +22,7 @@
 void CellHost::OnHello(const Hello& hello, TimePoint now) {
   agents_[hello.vm] = hello;
   reports_.erase(hello.vm);
+  gone_.erase(hello.vm);
   if (owner_) owner_->OnHello(hello, now);
 }
 
@@ -61,10 +64,15 @@
 }
 
 void CellHost::OnVmGone(const std::string& vm, TimePoint now) {
+  for (auto it = gone_.begin(); it != gone_.end();) {
+    it = now >= it->second + kRememberGone ? gone_.erase(it) : std::next(it);
+  }
+  gone_[vm] = now;
   if (owner_) owner_->OnVmGone(vm, now);
 }
 
 void CellHost::OnVmLeaving(const std::string& vm, bool leaving) {
+  gone_.erase(vm);
   if (owner_) owner_->OnVmLeaving(vm, leaving);
 }
 
@@ -252,6 +260,7 @@
   for (const auto& [vm, hello] : agents_) {
     owner_->OnHello(hello, hooks_.now());
   }
+  for (const auto& [vm, since] : gone_) owner_->OnVmGone(vm, hooks_.now());
 }
 
 void CellHost::LoseOwnership() {
--- a/beamhill/cell/cell_host.h
+++ b/beamhill/cell/cell_host.h
@@ -131,6 +131,8 @@
 
   std::map<std::string, Hello> agents_;  // Linked to this entry.
   std::map<std::string, LossReport> reports_;
+  // VMs that the list dropped, and when; an owner that loads later is told.
+  std::map<std::string, TimePoint> gone_;
 
   bool row_read_ = false;  // Since the last reason to look at it.
   bool busy_ = false;      // A claim or load is in progress.
--- a/beamhill/cell/cell_host_test.cc
+++ b/beamhill/cell/cell_host_test.cc
@@ -94,5 +94,27 @@
   EXPECT_EQ(host_->counts().takeovers, 1U);
 }
 
+// A VM and its cell's owner were lost together. The list dropped the VM before
+// the next owner had loaded, which was not told, so that the VM's work waited
+// for the end of leases that nobody held: 20 minutes.
+TEST_F(CellHostTest, VmThatTheListDroppedBeforeTheOwnerLoadedBlocksNothing) {
+  CellSnapshot snapshot;
+  snapshot.epoch = 1;
+  snapshot.roster = {"vm-1", "vm-2", "vm-3", "vm-4"};
+  Write(ProgressKey("c"), EncodeRow(snapshot));
+  OwnRow("gone", 1);
+  Link("vm-1");
+  host_->OnVmGone("vm-2", now_);
+  // The list shows it again, and one says Hello: these two are not gone.
+  host_->OnVmGone("vm-3", now_);
+  host_->OnVmLeaving("vm-3", false);
+  host_->OnVmGone("vm-4", now_);
+  Link("vm-4");
+  Pass(seconds(5), 1);
+  ASSERT_TRUE(host_->owns());
+  const std::set<std::string> unaccounted = {"vm-1", "vm-3", "vm-4"};
+  EXPECT_EQ(host_->owner()->unaccounted(), unaccounted);
+}
+
 }  // namespace
 }  // namespace beamhill
