Cell owner: a VM that the list shows again is not gone

What callers would see: a task runs in two places at once, after the platform's list has left a VM out once and the VM's link is lost at any time later.

Cause: `listed_gone` is set when the list drops a VM, is rightly not believed while its agent is heard, and was never taken back. From then on a lost link alone counted as the VM's end, though its lease still ran.

Mend: the list's showing the VM takes it back, at each poll.

CellOwnerTest.VmThatTheListShowsAgainIsNotGone failed before: owner_->counts().starts: 2 instead of 1 (its lease still runs)

--- a/beamhill/cell/cell_owner.cc
+++ b/beamhill/cell/cell_owner.cc
@@ -329,7 +329,9 @@
 
 void CellOwner::OnVmLeaving(const std::string& vm, bool leaving) {
   const auto it = agents_.find(vm);
-  if (it != agents_.end()) it->second.leaving = leaving;
+  if (it == agents_.end()) return;
+  it->second.leaving = leaving;
+  it->second.listed_gone = false;
 }
 
 bool CellOwner::IsExpired(const Agent& agent, TimePoint now) const {
--- a/beamhill/cell/cell_owner.h
+++ b/beamhill/cell/cell_owner.h
@@ -144,8 +144,8 @@
   // The VM's agent finds that throttling is not enough.
   void OnYieldWanted(const std::string& vm, const YieldWanted& wanted,
                      TimePoint now);
-  // The platform's list says that the VM is leaving, or no longer so. It gets
-  // no new tasks while it is.
+  // The platform's list shows the VM, as leaving or not. It gets no new tasks
+  // while it is leaving.
   void OnVmLeaving(const std::string& vm, bool leaving);
   // The platform's list showed the VM and has since dropped it. Believed at
   // once unless the VM's agent is still heard.
--- a/beamhill/cell/cell_owner_test.cc
+++ b/beamhill/cell/cell_owner_test.cc
@@ -250,5 +250,24 @@
   EXPECT_EQ(started_.count({"new", 0}), 1U);
 }
 
+// The list left a VM out once and showed it again, which nobody noted. A link
+// that was lost much later then counted as the VM's end at once, and its tasks
+// were started elsewhere while they ran on under their lease.
+TEST_F(CellOwnerTest, VmThatTheListShowsAgainIsNotGone) {
+  Take({}, 2);
+  owner_->OnRange(Job("j", "t", 1));
+  Tick(kStart);
+  const std::string vm = started_.at({"j", 0}).vm;
+  owner_->OnVmGone(vm, kStart + seconds(1));
+  owner_->OnVmLeaving(vm, false);
+  Heartbeats(kStart + seconds(30));
+  owner_->OnLinkDown(vm, FenceOf(vm).session);
+  Tick(kStart + seconds(31));
+  EXPECT_EQ(owner_->counts().starts, 1U) << "its lease still runs";
+  owner_->OnVmGone(vm, kStart + seconds(32));
+  Tick(kStart + seconds(32));
+  EXPECT_EQ(owner_->counts().starts, 2U);
+}
+
 }  // namespace
 }  // namespace beamhill
