Cell host: give up a cell whose claim is on its way when the entry leaves

What callers would see: a planned stop of an entry during a takeover leaves a cell to an entry that is gone; its work waits until agents have reported that for seconds, and what cannot be reached for the whole ownership term.

Cause: `Release` took a cell without a CellOwner for one that is not ours, and said done while the claim was unanswered or the cell not loaded. A claim that took effect later was even loaded and acted on after the release.

Mend: the host knows whether the row says that the cell is ours (`claimed_`), and a release waits for the call that is open before it decides.

Both tests failed before: CellHostTest.ClaimThatIsAnsweredAfterTheReleaseIsGivenUp released: 1 instead of 0; owns(): true; OwnRow().released: false CellHostTest.CellThatWasNotLoadedYetIsGivenUpToo OwnRow().released: false

--- a/beamhill/cell/cell_host.cc
+++ b/beamhill/cell/cell_host.cc
@@ -138,6 +138,7 @@
   table_.read({CellKey(cell())},
               lifetime_.Guard([this, sent_at](Result<std::vector<Row>> rows) {
                 busy_ = false;
+                if (releasing_) return EndRelease();
                 if (!IsOk(rows)) {
                   BackOff(hooks_.now());
                   return;
@@ -166,6 +167,7 @@
     OnClaimed(row.version, ownership);
     return;
   }
+  claimed_ = false;
   const bool earlier_run = current.owner == options_.entry && !mine;
   const bool is_free = row.version == 0 || current.released || earlier_run;
   // Reports that led here may be about an owner before this row's.
@@ -200,13 +202,16 @@
         // Whatever happened, the row tells.
         row_read_ = false;
         BackOff(hooks_.now());
+        if (releasing_) EndRelease();
       }));
 }
 
 void CellHost::OnClaimed(uint64_t version, const Ownership& ownership) {
+  claimed_ = true;
   row_version_ = version;
   row_epoch_ = ownership.epoch;
   row_epoch_since_ = hooks_.now();
+  if (releasing_) return EndRelease();
   ++counts_.takeovers;
   Load(ownership);
 }
@@ -220,6 +225,7 @@
     busy_ = false;
     row_read_ = false;  // Starts over from our own row.
     BackOff(hooks_.now());
+    if (releasing_) EndRelease();
   };
   table_.read(
       {ProgressKey(cell())},
@@ -232,6 +238,7 @@
                       if (!IsOk(ranges)) return retry();
                       busy_ = false;
                       OnTableWorks();
+                      if (releasing_) return EndRelease();
                       OnLoaded(ownership, progress, ValueOf(ranges));
                     }));
       }));
@@ -267,6 +274,7 @@
   if (!owner_) return;
   owner_->OnOwnershipLost();
   owner_.reset();
+  claimed_ = false;
   row_read_ = false;
   ++counts_.lost_ownerships;
 }
@@ -443,23 +451,30 @@
 
 void CellHost::Release(std::function<void()> done) {
   releasing_ = true;
-  if (!owner_) return done();
-  // From here on nothing is granted or started, so the next owner need not
-  // wait for this one's authority to run out.
-  const uint64_t epoch = owner_->epoch();
-  owner_->OnOwnershipLost();
-  owner_.reset();
+  release_done_ = std::move(done);
+  if (busy_) return;
+  if (owner_) {
+    // From here on nothing is granted or started, so the next owner need not
+    // wait for this one's authority to run out.
+    owner_->OnOwnershipLost();
+    owner_.reset();
+  }
+  EndRelease();
+}
+
+void CellHost::EndRelease() {
+  if (!claimed_) return release_done_();
   CellRow row;
   row.owner = options_.entry;
   row.incarnation = options_.incarnation;
-  row.epoch = epoch;
+  row.epoch = row_epoch_;
   row.released = true;
   Transaction transaction;
   transaction.writes.push_back({CellKey(cell()), row_version_, EncodeRow(row)});
   ++counts_.row_writes;
-  table_.commit(std::move(transaction),
-                lifetime_.Guard(
-                    [done = std::move(done)](const CommitAnswer&) { done(); }));
+  table_.commit(
+      std::move(transaction),
+      lifetime_.Guard([done = release_done_](const CommitAnswer&) { done(); }));
 }
 
 }  // namespace beamhill
--- a/beamhill/cell/cell_host.h
+++ b/beamhill/cell/cell_host.h
@@ -81,8 +81,8 @@
   void OnWorkHint();
   void Tick(TimePoint now);
 
-  // Stops acting, saves, and gives the cell up. `done` runs when that is
-  // durable or can't be done now.
+  // Stops acting and gives the cell up, also one whose claim is on its way.
+  // `done` runs when that is durable or can't be done now.
   void Release(std::function<void()> done);
 
   std::vector<AgentMessage> TakeMessages();
@@ -122,6 +122,7 @@
   void Finish(const std::string& job);
   void OnFinished(const std::string& job);
   void LoseOwnership();
+  void EndRelease();
   void BackOff(TimePoint now);
   void OnTableWorks() { retry_ = Duration(0); }
 
@@ -140,6 +141,7 @@
   TimePoint retry_at_{};
   Duration retry_{};
 
+  bool claimed_ = false;  // The row says that the cell is ours.
   uint64_t row_version_ = 0;
   uint64_t row_epoch_ = 0;
   TimePoint row_epoch_since_{};  // When it was first read here.
@@ -150,6 +152,7 @@
   bool polling_ = false;
   bool saving_ = false;
   bool releasing_ = false;
+  std::function<void()> release_done_;
   TimePoint last_poll_{};
   TimePoint last_confirm_{};
   std::map<std::string, uint64_t> range_versions_;
--- a/beamhill/cell/cell_host_test.cc
+++ b/beamhill/cell/cell_host_test.cc
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "beamhill/testing/faulty_table.h"
 
@@ -26,7 +29,20 @@
     hooks.now = [this] { return now_; };
     hooks.random = [] { return 0.5; };
     hooks.claim_delay = [] { return Duration(0); };
-    host_ = std::make_unique<CellHost>(options, table_.AsTable(), hooks);
+    Table table = table_.AsTable();
+    table.commit = [this, commit = table.commit](Transaction transaction,
+                                                 const CommitDone& done) {
+      commit(std::move(transaction), [this, done](const CommitAnswer& answer) {
+        if (!hold_commits_) return done(answer);
+        held_.emplace_back([done, answer] { done(answer); });
+      });
+    };
+    host_ = std::make_unique<CellHost>(options, table, hooks);
+  }
+
+  void AnswerCommits() {
+    hold_commits_ = false;
+    for (const auto& answer : std::exchange(held_, {})) answer();
   }
 
   void Link(const std::string& vm) {
@@ -76,6 +92,8 @@
   TimePoint now_ = kStart;
   TimePoint next_report_{};
   FaultyTable table_;
+  bool hold_commits_ = false;
+  std::vector<std::function<void()>> held_;
   std::unique_ptr<CellHost> host_;
 };
 
@@ -116,5 +134,40 @@
   EXPECT_EQ(host_->owner()->unaccounted(), unaccounted);
 }
 
+// The entry left while its claim was on its way. The claim took effect, and the
+// cell belonged to an entry that was gone.
+TEST_F(CellHostTest, ClaimThatIsAnsweredAfterTheReleaseIsGivenUp) {
+  Link("vm-1");
+  hold_commits_ = true;
+  Pass(kTick);
+  ASSERT_EQ(OwnRow().owner, "here");
+  int released = 0;
+  host_->Release([&released] { ++released; });
+  Pass(seconds(1));
+  EXPECT_EQ(released, 0) << "the claim may take effect yet";
+  AnswerCommits();
+  Pass(seconds(1));
+  EXPECT_FALSE(host_->owns());
+  EXPECT_TRUE(OwnRow().released);
+  EXPECT_EQ(released, 1);
+}
+
+// As above, while what the cell's last owner left could not be read.
+TEST_F(CellHostTest, CellThatWasNotLoadedYetIsGivenUpToo) {
+  Link("vm-1");
+  hold_commits_ = true;
+  Pass(kTick);
+  table_.set_fault(TableFault::kDown);
+  AnswerCommits();
+  Pass(kTick);
+  table_.set_fault(TableFault::kNone);
+  ASSERT_FALSE(host_->owns());
+  int released = 0;
+  host_->Release([&released] { ++released; });
+  Pass(seconds(1));
+  EXPECT_TRUE(OwnRow().released);
+  EXPECT_EQ(released, 1);
+}
+
 }  // namespace
 }  // namespace beamhill
