Cell host: load again when a cell's progress could not be read

What callers would see: a cell whose progress row was torn, or written by a later version, stands still for good also after the row has been mended.

Cause: the host had claimed the cell and returned from `OnLoaded` with its row marked as read, so that nothing led it there again.

Mend: it starts over from its own row, `max_retry` (10 s) later.

CellHostTest.ProgressThatCannotBeReadIsReadAgain failed before: host_->owns(): Actual: false, Expected: true

--- a/beamhill/cell/cell_host.cc
+++ b/beamhill/cell/cell_host.cc
@@ -248,6 +248,8 @@
                         const std::vector<Row>& ranges) {
   CellSnapshot snapshot;
   if (progress.version != 0 && !IsOk(DecodeRow(progress.value, &snapshot))) {
+    row_read_ = false;  // Starts over, once somebody may have mended it.
+    retry_at_ = hooks_.now() + options_.max_retry;
     return;
   }
   progress_version_ = progress.version;
--- a/beamhill/cell/cell_host_test.cc
+++ b/beamhill/cell/cell_host_test.cc
@@ -169,5 +169,18 @@
   EXPECT_EQ(released, 1);
 }
 
+// The progress could not be read when the cell was taken. The host never tried
+// again, and kept the cell without doing anything for it.
+TEST_F(CellHostTest, ProgressThatCannotBeReadIsReadAgain) {
+  Write(ProgressKey("c"), "torn");
+  Link("vm-1");
+  Pass(seconds(5));
+  EXPECT_FALSE(host_->owns());
+  EXPECT_LE(host_->counts().reads, 3U) << "one try for now";
+  Write(ProgressKey("c"), EncodeRow(CellSnapshot{}));
+  Pass(seconds(30));
+  EXPECT_TRUE(host_->owns());
+}
+
 }  // namespace
 }  // namespace beamhill
