Simulation: a VM that is lost while its agent is down is out of reach throughout

No caller sees this; the check was wrong. Work that ends on a VM from which nobody can learn it may be run again: its agent is down, or the VM is lost. The time between was left out when the VM was lost before its agent came back, since the span of a dead agent is noted when it starts again. So a task that ended after its agent's death was held against the owner that ran it again once the lease was over.

Coordination.NobodyLearnsFromAVmThatIsLostWhileItsAgentIsDown failed before: record.Violations().size(): 1 instead of 0

--- a/beamhill/testing/coordination_test.cc
+++ b/beamhill/testing/coordination_test.cc
@@ -4,8 +4,12 @@
 
 #include <algorithm>
 #include <iostream>
+#include <memory>
 
 #include "beamhill/testing/coordination_sim.h"
+#include "beamhill/testing/sim_nodes.h"
+#include "beamhill/testing/sim_world.h"
+#include "beamhill/testing/worker_model.h"
 
 namespace beamhill {
 namespace {
@@ -183,6 +187,39 @@
   }
 }
 
+// What ended on a VM between the death of its agent and its own was held
+// against the owner that ran it again.
+TEST(Coordination, NobodyLearnsFromAVmThatIsLostWhileItsAgentIsDown) {
+  for (const bool restarted : {false, true}) {
+    SimWorld world(kSeed);
+    WorkRecord record;
+    std::vector<std::unique_ptr<SimEntry>> entries;
+    SimVm vm(world, record, "vm-1", {4000, 8000, 0}, entries, SimDefect::kNone);
+    const TimePoint start = world.now();
+    const auto pass_until = [&world](TimePoint at) {
+      world.At(at, [] {});
+      while (world.Step(at)) {
+      }
+    };
+    const TaskId task{"j", 0};
+    const auto add = [&](int second, WorkEventKind kind, const std::string& on,
+                         uint64_t sequence) {
+      record.Add({start + std::chrono::seconds(second), kind, on, task,
+                  Attempt::Make(1, sequence), ""});
+    };
+    add(0, WorkEventKind::kStarted, "vm-1", 1);
+    pass_until(start + std::chrono::seconds(1));
+    vm.KillAgent();
+    pass_until(start + std::chrono::seconds(2));
+    if (restarted) vm.StartAgent();
+    add(3, WorkEventKind::kDone, "vm-1", 1);
+    pass_until(start + std::chrono::seconds(9));
+    vm.Lose();
+    add(8, WorkEventKind::kStarted, "vm-2", 2);
+    EXPECT_EQ(record.Violations().size(), restarted ? 1U : 0U);
+  }
+}
+
 // Each defect is found within a few seeds, and the very run that finds it
 // finds nothing without it.
 TEST(Coordination, ChecksCatchEachPlantedDefect) {
--- a/beamhill/testing/sim_nodes.cc
+++ b/beamhill/testing/sim_nodes.cc
@@ -181,7 +181,8 @@
 void SimVm::Lose() {
   lost_ = true;
   worker_.Kill(world_.now());
-  record_.AddOutOfReach(name_, world_.now(), TimePoint::max());
+  record_.AddOutOfReach(name_, out_of_reach_since_.value_or(world_.now()),
+                        TimePoint::max());
   process_.Kill();
   core_.reset();
   // Nobody closes a lost VM's connections; entries notice late.
