Agent: order the speed of batch tasks again until the worker must have it

What callers would see: batch tasks that crawl on at 35 % for good though their VM's service is calm, or a service that gets no relief; and the former after an agent or a worker has started again while batch tasks were throttled.

Cause: the ladder counts as throttled, or as released, once the agent has given the order. The call to the worker is made once and nobody hears its answer, so an order that is lost is never given again.

Mend: while tasks run, the speed that is aimed at is ordered again with the worker's list every `kThrottleRepeat` (5 s). The order sets a speed, so that it may be repeated at will.

AgentCoreTest.ThrottleIsOrderedAgainWhateverBecameOfTheFirstCall failed before: slow.size(): 0, expected >= 3 full.size(): 0, expected >= 3

--- a/beamhill/agent/agent_core.cc
+++ b/beamhill/agent/agent_core.cc
@@ -9,6 +9,9 @@
 
 // Speed of batch tasks while their VM's service is above its target.
 constexpr int kThrottledPercent = 35;
+constexpr int kFullPercent = 100;
+// How often a worker is told the speed that its batch tasks are to have.
+constexpr Duration kThrottleRepeat = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -263,11 +266,12 @@
 
 void AgentCore::OnWorkerList(const std::vector<WorkerTask>& list,
                              TimePoint sent_at) {
-  if (!listed_) {
-    // An earlier run of this agent may have left the worker throttled.
-    WorkerCommand command;
-    command.kind = WorkerCommandKind::kThrottle;
-    commands_.push_back(std::move(command));
+  // An earlier run of this agent may have left the worker throttled, and nobody
+  // hears whether it has taken the speed that was ordered.
+  const bool repeat = sent_at >= last_throttle_ + kThrottleRepeat;
+  if (!listed_ || (repeat && !tasks_.empty())) {
+    last_throttle_ = sent_at;
+    CommandThrottle();
   }
   std::set<TaskId> named;
   for (const WorkerTask& listed : list) {
@@ -345,21 +349,23 @@
 
 void AgentCore::OnServiceLatency(Duration latency, Duration target,
                                  TimePoint now) {
-  WorkerCommand command;
-  command.kind = WorkerCommandKind::kThrottle;
   switch (ladder_.Observe(latency, target, now)) {
     case YieldStep::kNone:
       return;
     case YieldStep::kThrottle:
-      command.percent = kThrottledPercent;
-      break;
     case YieldStep::kRelease:
-      command.percent = 100;
-      break;
+      CommandThrottle();
+      return;
     case YieldStep::kEvict:
       SendToOwner(YieldWanted{CurrentFence()});
       return;
   }
+}
+
+void AgentCore::CommandThrottle() {
+  WorkerCommand command;
+  command.kind = WorkerCommandKind::kThrottle;
+  command.percent = ladder_.throttled() ? kThrottledPercent : kFullPercent;
   commands_.push_back(std::move(command));
 }
 
--- a/beamhill/agent/agent_core.h
+++ b/beamhill/agent/agent_core.h
@@ -181,6 +181,7 @@
   void SendToOwner(Message message);
   Fence CurrentFence() const;
   void CheckpointBeforeLapse(TimePoint now);
+  void CommandThrottle();
 
   AgentCoreOptions options_;
   std::map<std::string, uint32_t> links_;  // Live links, by entry.
@@ -197,6 +198,7 @@
   bool lapse_handled_ = false;
 
   YieldLadder ladder_;
+  TimePoint last_throttle_{};
   bool listed_ = false;  // The worker's list has been seen.
   bool inventory_wanted_ = false;
   uint32_t inventory_number_ = 0;
--- a/beamhill/agent/agent_core_test.cc
+++ b/beamhill/agent/agent_core_test.cc
@@ -2,7 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
+#include <vector>
 
 namespace beamhill {
 namespace {
@@ -260,5 +262,52 @@
   EXPECT_EQ(StartCommands(), 1);
 }
 
+// The call that ended the throttling was lost, the agent took it for done, and
+// batch tasks crawled on for good. The same of one that began it: the service
+// was not relieved.
+TEST_F(AgentCoreTest, ThrottleIsOrderedAgainWhateverBecameOfTheFirstCall) {
+  Start(0, 1, kStart);
+  const auto throttles = [this](TimePoint from, TimePoint to) {
+    std::vector<int> percents;
+    for (TimePoint now = from; now < to; now += seconds(1)) {
+      core_->OnMessage("e", Grant{fence_, now, seconds(10)}, now);
+      core_->Tick(now);
+      core_->OnWorkerList({{{"j", 0},
+                            Attempt::Make(1, 1),
+                            WorkerTaskState::kRunning,
+                            {},
+                            {},
+                            {}}},
+                          now);
+      for (const WorkerCommand& command : core_->TakeCommands()) {
+        if (command.kind != WorkerCommandKind::kThrottle) continue;
+        percents.push_back(command.percent);
+      }
+    }
+    return percents;
+  };
+  TimePoint now = kStart;
+  const auto observe = [&](Duration latency, int times) {
+    for (int i = 0; i < times; ++i, now += seconds(1)) {
+      core_->OnServiceLatency(latency, seconds(1), now);
+    }
+  };
+  observe(seconds(5), 5);
+  ASSERT_TRUE(core_->throttled());
+  core_->TakeCommands();
+  const std::vector<int> slow = throttles(now, now + seconds(30));
+  EXPECT_GE(slow.size(), 3U);
+  EXPECT_LE(slow.size(), 10U);
+  EXPECT_EQ(std::count(slow.begin(), slow.end(), 100), 0);
+  now += seconds(30);
+  observe(std::chrono::milliseconds(1), 40);
+  ASSERT_FALSE(core_->throttled());
+  core_->TakeCommands();
+  const std::vector<int> full = throttles(now, now + seconds(30));
+  EXPECT_GE(full.size(), 3U);
+  EXPECT_LE(full.size(), 10U);
+  EXPECT_EQ(std::count(full.begin(), full.end(), 100), int(full.size()));
+}
+
 }  // namespace
 }  // namespace beamhill
