Agent: end the throttling of batch tasks once their VM's service is idle

What callers would see: batch tasks crawl on at 35 % beside a service that gets no requests any more, until it is called again and has been calm for 15 s.

Cause: the ladder moves with samples of the service's latency, and there is none without an ended request. What was decided on the last sample stood for good.

Mend: a second in which no request ended and none is open counts as a calm one while batch tasks are throttled. Requests that hang are no sign of calm.

AgentCoreTest.ThrottlingEndsOnceTheServiceIsIdle, run against an empty `OnServiceIdle` (as found, an idle second told the core nothing), failed: core_->throttled(): Actual: true, Expected: false

--- a/beamhill/agent/agent.cc
+++ b/beamhill/agent/agent.cc
@@ -256,10 +256,16 @@
   }
   ended_ += report.ended;
   latency_sum_ += report.latency * report.ended;
-  if (now < last_latency_ + kLatencyPeriod || ended_ == 0) return;
+  if (now < last_latency_ + kLatencyPeriod) return;
+  const Duration target = SettingTime(in_force_, "latency.target");
+  if (ended_ > 0) {
+    core_->OnServiceLatency(latency_sum_ / ended_, target, now);
+  } else if (report.in_progress == 0) {
+    core_->OnServiceIdle(target, now);
+  } else {
+    return;
+  }
   last_latency_ = now;
-  core_->OnServiceLatency(latency_sum_ / ended_,
-                          SettingTime(in_force_, "latency.target"), now);
   ended_ = 0;
   latency_sum_ = Duration(0);
   Flush();
--- a/beamhill/agent/agent_core.cc
+++ b/beamhill/agent/agent_core.cc
@@ -362,6 +362,11 @@
   }
 }
 
+void AgentCore::OnServiceIdle(Duration target, TimePoint now) {
+  // Samples of an idle service would only blur those of a busy one.
+  if (ladder_.throttled()) OnServiceLatency(Duration(0), target, now);
+}
+
 void AgentCore::CommandThrottle() {
   WorkerCommand command;
   command.kind = WorkerCommandKind::kThrottle;
--- a/beamhill/agent/agent_core.h
+++ b/beamhill/agent/agent_core.h
@@ -117,6 +117,8 @@
   // The VM's service had this mean latency lately. The agent throttles at
   // once by itself; what that does not mend it asks the owner to evict for.
   void OnServiceLatency(Duration latency, Duration target, TimePoint now);
+  // The VM's service has had no request lately.
+  void OnServiceIdle(Duration target, TimePoint now);
 
   // Heartbeats, lost owners, the approach of the lease's end.
   void Tick(TimePoint now);
--- a/beamhill/agent/agent_core_test.cc
+++ b/beamhill/agent/agent_core_test.cc
@@ -309,5 +309,20 @@
   EXPECT_EQ(std::count(full.begin(), full.end(), 100), int(full.size()));
 }
 
+// A service that got no more requests while batch tasks were throttled gave no
+// more samples either, and they crawled on until somebody called it again.
+TEST_F(AgentCoreTest, ThrottlingEndsOnceTheServiceIsIdle) {
+  TimePoint now = kStart;
+  for (int i = 0; i < 5; ++i, now += seconds(1)) {
+    core_->OnServiceLatency(seconds(5), seconds(1), now);
+  }
+  ASSERT_TRUE(core_->throttled());
+  for (int i = 0; i < 60; ++i, now += seconds(1)) {
+    core_->OnServiceIdle(seconds(1), now);
+    EXPECT_TRUE(core_->throttled() || i >= 10) << "calm must last";
+  }
+  EXPECT_FALSE(core_->throttled());
+}
+
 }  // namespace
 }  // namespace beamhill
