Tests: orders that are lost with a link, a call or the table are given again

These suspicions were refuted, and each test holds what refutes it: a stop, an eviction that makes room and a settlement that went down with their link are decided anew after the next inventory; the agent orders a stop of its worker at each list until the task is gone; a cancellation that the table tells late, here after the owner's authority was over, stops what runs.

--- a/beamhill/agent/agent_core_test.cc
+++ b/beamhill/agent/agent_core_test.cc
@@ -324,5 +324,34 @@
   EXPECT_FALSE(core_->throttled());
 }
 
+// The call that stops a task was lost: the agent had it down as on its way, and
+// the task would have run on.
+TEST_F(AgentCoreTest, StopIsOrderedOfTheWorkerUntilItsListShowsTheEnd) {
+  const TaskId task{"j", 0};
+  const Attempt attempt = Attempt::Make(1, 1);
+  Start(0, 1, kStart);
+  core_->OnStartAnswer(task, attempt, WorkerStartAnswer::kStarted, "", kStart);
+  core_->TakeCommands();
+  core_->OnMessage("e", StopTasks{fence_, StopMode::kCancel, {{task, attempt}}},
+                   kStart);
+  const auto cancels = [this] {
+    int count = 0;
+    for (const WorkerCommand& command : core_->TakeCommands()) {
+      if (command.kind == WorkerCommandKind::kCancel) ++count;
+    }
+    return count;
+  };
+  EXPECT_EQ(cancels(), 1);
+  WorkerTask listed{task, attempt, WorkerTaskState::kRunning, {}, "", ""};
+  for (int i = 1; i <= 5; ++i) {
+    core_->OnWorkerList({listed}, kStart + seconds(i));
+    EXPECT_EQ(cancels(), 1);
+  }
+  listed.state = WorkerTaskState::kEvicted;
+  core_->OnWorkerList({listed}, kStart + seconds(6));
+  EXPECT_EQ(cancels(), 0);
+  EXPECT_EQ(core_->running(), 0U);
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/cell/cell_host_test.cc
+++ b/beamhill/cell/cell_host_test.cc
@@ -182,5 +182,46 @@
   EXPECT_TRUE(host_->owns());
 }
 
+// A job was cancelled while the table did not answer its cell's owner.
+TEST_F(CellHostTest, CancellationThatTheTableTellsLateStopsWhatRuns) {
+  RangeRow range;
+  range.job.id = "j";
+  range.job.tasks = 1;
+  range.job.each = {1000, 1000, 0};
+  range.range = {0, 1};
+  range.initial_window = 1;
+  Write(RangeKey("c", "j"), EncodeRow(range));
+  Link("vm-1");
+  size_t starts = 0;
+  size_t stops = 0;
+  const auto pass = [&](Duration length) {
+    for (const TimePoint end = now_ + length; now_ < end;) {
+      Pass(kTick);
+      const Fence fence{1, {1, 1}};
+      host_->OnAgentMessage("vm-1", Heartbeat{fence, now_}, now_);
+      for (const AgentMessage& message : host_->TakeMessages()) {
+        const Message& m = message.message;
+        if (const auto* request = std::get_if<InventoryRequest>(&m)) {
+          host_->OnAgentMessage(
+              "vm-1", Inventory{request->fence, request->number, {}, {}}, now_);
+        }
+        starts += std::holds_alternative<StartTasks>(m) ? 1 : 0;
+        stops += std::holds_alternative<StopTasks>(m) ? 1 : 0;
+      }
+    }
+  };
+  pass(seconds(5));
+  ASSERT_EQ(starts, 1U);
+  table_.set_fault(TableFault::kDown);
+  pass(seconds(2));
+  range.cancelled = true;
+  Write(RangeKey("c", "j"), EncodeRow(range));
+  pass(std::chrono::minutes(21));
+  EXPECT_EQ(stops, 0U);
+  table_.set_fault(TableFault::kNone);
+  pass(seconds(15));
+  EXPECT_EQ(stops, 1U);
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/cell/cell_owner_test.cc
+++ b/beamhill/cell/cell_owner_test.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <map>
+#include <vector>
 
 namespace beamhill {
 namespace {
@@ -269,5 +270,95 @@
   EXPECT_EQ(owner_->counts().starts, 2U);
 }
 
+// A VM with a link anew, its inventory, and what the owner then sends it.
+std::vector<AgentMessage> Relink(CellOwner& owner, const Hello& hello,
+                                 const Inventory& held, TimePoint now) {
+  owner.OnLinkDown(hello.vm, {hello.session.incarnation, 1});
+  owner.OnHello(hello, now);
+  for (const AgentMessage& message : owner.TakeMessages()) {
+    const auto* request = std::get_if<InventoryRequest>(&message.message);
+    if (request == nullptr) continue;
+    Inventory inventory = held;
+    inventory.fence = request->fence;
+    inventory.number = request->number;
+    owner.OnInventory(hello.vm, inventory, now);
+  }
+  return owner.TakeMessages();
+}
+
+Hello SecondLinkOfVm1() {
+  Hello hello;
+  hello.vm = "vm-1";
+  hello.capacity = kVm;
+  hello.session = {1, 2};
+  return hello;
+}
+
+// A cancellation's stop went down with the link that carried it.
+TEST_F(CellOwnerTest, StopThatWasLostWithItsLinkIsSentOnTheNext) {
+  Take({}, 1);
+  owner_->OnRange(Job("j", "t", 2));
+  Tick(kStart);
+  RangeRow cancelled = Job("j", "t", 2);
+  cancelled.cancelled = true;
+  owner_->OnRange(cancelled);
+  EXPECT_EQ(owner_->TakeMessages().size(), 2U) << "lost";
+  Inventory held;
+  for (const auto& [task, placed] : started_) {
+    held.running.push_back({task, placed.attempt, {1000, 1000, 0}});
+  }
+  size_t stops = 0;
+  for (const AgentMessage& message :
+       Relink(*owner_, SecondLinkOfVm1(), held, kStart + seconds(1))) {
+    const auto* stop = std::get_if<StopTasks>(&message.message);
+    if (stop != nullptr) stops += stop->tasks.size();
+  }
+  EXPECT_EQ(stops, 2U);
+}
+
+// The order to make room went down with its link and counted as given.
+TEST_F(CellOwnerTest, EvictionThatWasLostWithItsLinkIsOrderedAgain) {
+  Take({}, 1);
+  owner_->OnRange(Job("a", "t", 4));
+  Tick(kStart);
+  owner_->OnRange(Job("z", "u", 1, Urgency::kUrgent));
+  owner_->Tick(kStart + seconds(1));
+  EXPECT_EQ(owner_->TakeMessages().size(), 1U) << "lost";
+  Inventory held;
+  for (const auto& [task, placed] : started_) {
+    held.running.push_back({task, placed.attempt, {1000, 1000, 0}});
+  }
+  Relink(*owner_, SecondLinkOfVm1(), held, kStart + seconds(2));
+  Tick(kStart + seconds(3));
+  EXPECT_EQ(evicted_.size(), 1U);
+}
+
+// What settles an end went down with its link: the agent keeps the end, and
+// would be full of them.
+TEST_F(CellOwnerTest, SettlementThatWasLostWithItsLinkIsSentAgain) {
+  Take({}, 1);
+  owner_->OnRange(Job("j", "t", 1));
+  Tick(kStart);
+  const Attempt attempt = started_.at({"j", 0}).attempt;
+  const auto settled = [this] {
+    size_t count = 0;
+    for (const AgentMessage& message : owner_->TakeMessages()) {
+      const auto* settled = std::get_if<Settled>(&message.message);
+      if (settled != nullptr) count += settled->tasks.size();
+    }
+    return count;
+  };
+  End({"j", 0}, OutcomeKind::kDone, kStart);
+  ASSERT_TRUE(owner_->TakeSnapshot(kStart + seconds(20)));
+  owner_->OnSnapshotDurable(kStart + seconds(20));
+  EXPECT_EQ(settled(), 1U) << "lost";
+  Inventory held;
+  held.outcomes.push_back({{"j", 0}, attempt, OutcomeKind::kDone, "", ""});
+  Relink(*owner_, SecondLinkOfVm1(), held, kStart + seconds(21));
+  ASSERT_TRUE(owner_->TakeSnapshot(kStart + seconds(40)));
+  owner_->OnSnapshotDurable(kStart + seconds(40));
+  EXPECT_EQ(settled(), 1U);
+}
+
 }  // namespace
 }  // namespace beamhill
