Entry: tell agents that link later the settings that it took from others

What callers would see: with all entries started anew while the table is down, an agent that starts anew as well works on defaults (log level, the latency target that batch tasks yield by) until the table is back.

Cause: settings that an entry takes from an agent are sent to those linked at that moment, once. A later Hello was answered from the entry's own tree, which is empty or older then.

Settings.ReachAnAgentThatStartsAnewWhileTheTableIsDown failed before: WaitFor(20 s, at_agent(1) == 1): Actual: false

--- a/beamhill/entry/entry.cc
+++ b/beamhill/entry/entry.cc
@@ -270,10 +270,17 @@
 
 void Entry::PushSettings(const Hello& hello) {
   const SettingsTree& tree = settings_store_.tree();
+  const std::string node = HallNode(hello.region, hello.hall);
+  const auto adopted = adopted_.find(node);
+  if (adopted != adopted_.end() && adopted->second > tree.revision()) {
+    const SettingValues& values = halls_.at(node);
+    links_->Send(hello.vm, SettingsInForce{adopted->second,
+                                           {values.begin(), values.end()}});
+    return;
+  }
   if (tree.revision() == 0) return;
-  links_->Send(hello.vm, SettingsInForce{tree.revision(),
-                                         tree.EffectiveValues(HallNode(
-                                             hello.region, hello.hall))});
+  links_->Send(hello.vm,
+               SettingsInForce{tree.revision(), tree.EffectiveValues(node)});
 }
 
 void Entry::Drain() {
--- a/beamhill/testing/process_test.cc
+++ b/beamhill/testing/process_test.cc
@@ -463,6 +463,43 @@
   EXPECT_TRUE(in_force(1));
 }
 
+// Entries that had their settings from agents told those once, and no agent
+// that started later: it worked on defaults until the table was back.
+TEST(Settings, ReachAnAgentThatStartsAnewWhileTheTableIsDown) {
+  TestEstate estate({});
+  ASSERT_TRUE(estate.WaitUntilOwned());
+  const auto put =
+      estate.Call(estate.Operators(1), "PUT", "/v1/settings/estate",
+                  R"({"requests.deadline":"7s"})", {{"If-Match", "\"0\""}});
+  ASSERT_EQ(put.status, 200);
+  const auto revision_at = [&](const Address& server,
+                               const Json::json_pointer& where) {
+    const auto state = estate.Call(server, "GET", "/v1/state");
+    return state.body.is_object() ? state.body.value(where, 0) : 0;
+  };
+  const auto at_agent = [&](int vm) {
+    return revision_at(estate.AgentOperators(vm),
+                       "/settings/revision"_json_pointer);
+  };
+  ASSERT_TRUE(TestEstate::WaitFor(
+      kLong, [&] { return at_agent(2) == 1 && at_agent(3) == 1; }));
+  estate.Fault({{"table_down", true}});
+  for (const char* name : {"entry-1", "entry-2"}) {
+    estate.Signal(name, SIGKILL);
+    estate.Start(name);
+  }
+  for (const int entry : {1, 2}) {
+    ASSERT_TRUE(TestEstate::WaitFor(kLong, [&] {
+      return revision_at(
+                 estate.Operators(entry),
+                 "/settings/adopted/estate~1region~1hall"_json_pointer) == 1;
+    }));
+  }
+  estate.Signal("agent-1", SIGKILL);
+  estate.Start("agent-1");
+  EXPECT_TRUE(TestEstate::WaitFor(kLong, [&] { return at_agent(1) == 1; }));
+}
+
 TEST(Yielding, AnAgentThrottlesAtOnceWhenItsServiceIsSlow) {
   TestEstateOptions options;
   options.runner_mean_ms = 40;
