Entry: take a key's claim back only once it is known to be new

What callers would see: a request under an Idempotency-Key runs twice. It ran; a repeat was given up at its deadline while the key's second keeper had not yet answered the claim (answered as not-run, rightly); then the first keeper's VM was lost, and the next repeat ran it again.

Cause: `key_is_new` stands at true until the keeper answers, and `ReleaseKey` took that for its answer. The keeper was told to forget a key that the first request had claimed.

Mend: what is given up with its claim open is kept as an open claim. The answer decides: a claim that was new is released then, another one stays.

--- a/beamhill/entry/request_router.cc
+++ b/beamhill/entry/request_router.cc
@@ -176,6 +176,12 @@
 
 void RequestRouter::OnKeyClaimed(const std::string& vm,
                                  const KeyClaimed& claimed) {
+  const auto open = open_claims_.find(claimed.id);
+  if (open != open_claims_.end() && open->second.vm == vm) {
+    if (claimed.is_new) hooks_.send(vm, KeyRelease{open->second.key});
+    open_claims_.erase(open);
+    return;
+  }
   const auto it = pending_.find(claimed.id);
   if (it == pending_.end() || it->second->claimed_at != vm) return;
   Pending& pending = *it->second;
@@ -185,8 +191,13 @@
   SendTo(claimed.id, pending.runs_on);
 }
 
-// What provably did not run need not be remembered as run.
-void RequestRouter::ReleaseKey(const Pending& pending) {
+// What provably did not run need not be remembered as run. Until the claim is
+// answered, the key may be that of a request which did.
+void RequestRouter::ReleaseKey(uint64_t id, const Pending& pending) {
+  if (pending.claiming) {
+    open_claims_[id] = {pending.claimed_at, pending.start.idempotency_key};
+    return;
+  }
   if (pending.claimed_at.empty() || !pending.start.key_is_new) return;
   hooks_.send(pending.claimed_at, KeyRelease{pending.start.idempotency_key});
 }
@@ -308,7 +319,7 @@
 
 void RequestRouter::FinishNotRun(uint64_t id, const std::string& message) {
   Pending& pending = *pending_.at(id);
-  ReleaseKey(pending);
+  ReleaseKey(id, pending);
   not_run_.Add();
   pending.exchange.Reply(OutcomeReply(
       503, "not-run",
@@ -344,6 +355,9 @@
   for (const uint64_t id : unclaimed) {
     FinishNotRun(id, "a keeper of the key was lost");
   }
+  for (auto it = open_claims_.begin(); it != open_claims_.end();) {
+    it = it->second.vm == vm ? open_claims_.erase(it) : std::next(it);
+  }
   for (const uint64_t id : lost) {
     FinishUnknown(id, 502, "the connection to the runner was lost");
   }
--- a/beamhill/entry/request_router.h
+++ b/beamhill/entry/request_router.h
@@ -68,7 +68,7 @@
   void StartKeyed(uint64_t id);
   void OnKeyClaimed(const std::string& vm, const KeyClaimed& claimed);
   void SendTo(uint64_t id, const std::string& vm);
-  void ReleaseKey(const Pending& pending);
+  void ReleaseKey(uint64_t id, const Pending& pending);
   void RetryOrRefuse(uint64_t id, const std::string& reason);
   void OnResponseStart(const std::string& vm, const ResponseStart& start);
   void OnResponseBytes(const std::string& vm, const ResponseBytes& bytes);
@@ -86,6 +86,12 @@
   Duration longest_deadline_ = std::chrono::seconds(10);
   bool draining_ = false;
   std::map<uint64_t, std::unique_ptr<Pending>> pending_;
+  // Claims whose requests were given up before the answer, by request.
+  struct OpenClaim {
+    std::string vm;
+    std::string key;
+  };
+  std::map<uint64_t, OpenClaim> open_claims_;
   uint64_t next_id_ = 1;
   Counter& ran_;
   Counter& not_run_;
--- a/beamhill/testing/process_keys_test.cc
+++ b/beamhill/testing/process_keys_test.cc
@@ -14,6 +14,8 @@
 
 constexpr Duration kLong = seconds(90);
 
+void Sleep(Duration duration) { std::this_thread::sleep_for(duration); }
+
 TEST(Keys, RunOnceThroughTwoEntries) {
   TestEstate estate({});
   ASSERT_TRUE(estate.WaitUntilOwned());
@@ -93,5 +95,44 @@
   EXPECT_EQ(requests, 31);
 }
 
+// A repeat that was given up before its claim was answered took the claim back
+// that the first request had made. With the first keeper lost, the key ran
+// again.
+TEST(Keys, StayRememberedThoughARepeatIsGivenUpWhileItsClaimIsOpen) {
+  TestEstate estate({});
+  ASSERT_TRUE(estate.WaitUntilOwned());
+  const auto send = [&](int entry, int key, const std::string& deadline) {
+    return estate.Call(estate.Callers(entry), "POST", "/services/svc/order",
+                       "{}",
+                       {{"Idempotency-Key", "k" + std::to_string(key)},
+                        {"Beamhill-Deadline-Ms", deadline}});
+  };
+  constexpr int kKeys = 30;
+  for (int i = 0; i < kKeys; ++i) EXPECT_EQ(send(1, i, "9000").outcome, "ran");
+  for (const char* agent : {"agent-2", "agent-3"}) {
+    estate.Signal(agent, SIGSTOP);
+  }
+  int not_run = 0;
+  for (int i = 0; i < kKeys; ++i) {
+    not_run += send(2, i, "20").outcome == "not-run" ? 1 : 0;
+  }
+  EXPECT_GT(not_run, 0) << "no claim was open";
+  for (const char* agent : {"agent-2", "agent-3"}) {
+    estate.Signal(agent, SIGCONT);
+  }
+  Sleep(seconds(1));
+  estate.Signal("agent-1", SIGKILL);
+  ASSERT_TRUE(TestEstate::WaitFor(kLong, [&] {
+    const auto state = estate.Call(estate.Operators(2), "GET", "/v1/state");
+    return state.body.is_object() && state.body.value("agents", 0) == 2;
+  }));
+  for (int i = 0; i < kKeys; ++i) send(2, i, "9000");
+  int requests = 0;
+  for (int vm = 1; vm <= 3; ++vm) {
+    requests += estate.RunnerRecord(vm).value("requests", 0);
+  }
+  EXPECT_EQ(requests, kKeys);
+}
+
 }  // namespace
 }  // namespace beamhill
