Jobs: a cancellation that may have taken effect is not called refused

What callers would see: DELETE of a job is answered 503, as if it had not been carried out, and the job ends as cancelled.

Cause: after a commit without an answer, `TryCancel` reads the rows again; when the table did not answer that read either, the caller got the read's error.

Mend: from the second try on, a read that fails leaves the outcome unknown (504), as `Submit` and the settings' `Put` have it. A first read that fails still is a refusal.

--- a/beamhill/jobs/job_store.cc
+++ b/beamhill/jobs/job_store.cc
@@ -218,10 +218,14 @@
 void JobStore::TryCancel(const std::string& job, int tries,
                          std::function<void(Status)> done) {
   if (tries > kMaxTries) return done(Undecided());
-  table_.read({JobKey(job)}, lifetime_.Guard([this, job, tries,
+  // Only a first try is known not to have been written.
+  const auto unread = [tries](const Error& error) {
+    return tries > 1 ? Undecided() : error;
+  };
+  table_.read({JobKey(job)}, lifetime_.Guard([this, job, tries, unread,
                                               done](Result<std::vector<Row>>
                                                         rows) {
-    if (!IsOk(rows)) return done(ErrorOf(rows));
+    if (!IsOk(rows)) return done(unread(ErrorOf(rows)));
     const Row job_row = ValueOf(rows).front();
     JobRow row;
     if (job_row.version == 0 || !IsOk(DecodeRow(job_row.value, &row))) {
@@ -232,10 +236,10 @@
     for (const JobPart& part : row.parts) {
       keys.push_back(RangeKey(part.cell, job));
     }
-    table_.read(keys, lifetime_.Guard([this, job, tries, done, row,
+    table_.read(keys, lifetime_.Guard([this, job, tries, unread, done, row,
                                        job_row](Result<std::vector<Row>>
                                                     ranges) mutable {
-      if (!IsOk(ranges)) return done(ErrorOf(ranges));
+      if (!IsOk(ranges)) return done(unread(ErrorOf(ranges)));
       row.cancelled = true;
       Transaction cancel;
       cancel.writes.push_back({JobKey(job), job_row.version, EncodeRow(row)});
