--- a/beamhill/dispatch/dispatch_fillers.cc
+++ b/beamhill/dispatch/dispatch_fillers.cc
@@ -163,8 +163,9 @@
     }
     if (!held.starved_since) held.starved_since = now;
     const Duration starved_for = now - *held.starved_since;
-    if (starved_for >= kStarvedFor && !vm.stops.Has(run))
+    if (starved_for >= kStarvedFor && !vm.stops.Has(run)) {
       starved.push_back(run);
+    }
   }
   return starved;
 }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -16,6 +16,7 @@
 //    epoch with a workflow before it starts any of it, so workflows of its
 //    own need not wait.
 //  - An end is settled at the runner only after it is stored.
+//  - A start that has not left as the owner's authority ends never does.
 //
 //   auto dispatcher = Dispatcher::Create(options, now);
 //   dispatcher->AddWorkflow(workflow, record, now);
--- a/beamhill/dispatch/pending_stops.cc
+++ b/beamhill/dispatch/pending_stops.cc
@@ -5,14 +5,13 @@
 namespace beamhill {
 namespace {
 
-// A stop that was sent is reported as carried out within some 0.6 s, by a
-// runner that answers.
+// Longer than a runner takes to carry a stop out and its executor to report it.
 constexpr Duration kRepeatInterval = std::chrono::seconds(1);
 
 }  // namespace
 
-bool PendingStops::Add(const RunRef& run, TimePoint now) {
-  return stops_.emplace(run, Stop{now, std::nullopt, true}).second;
+void PendingStops::Add(const RunRef& run, TimePoint now) {
+  stops_.emplace(run, Stop{now, std::nullopt, true});
 }
 
 void PendingStops::MakeAllDue() {
--- a/beamhill/dispatch/pending_stops.h
+++ b/beamhill/dispatch/pending_stops.h
@@ -9,9 +9,9 @@
 // Pure.
 //
 //   PendingStops stops;
-//   if (stops.Add(run, now)) ...                    // It was not wanted
-//   before. for (const DueStop& stop : stops.TakeDue(now)) Send(stop.run);
-//   stops.Remove(run);                              // It is over.
+//   stops.Add(run, now);
+//   for (const DueStop& stop : stops.TakeDue(now)) Send(stop.run);
+//   stops.Remove(run);  // It is over.
 #ifndef BEAMHILL_DISPATCH_PENDING_STOPS_H_
 #define BEAMHILL_DISPATCH_PENDING_STOPS_H_
 
@@ -32,9 +32,9 @@
 
 class PendingStops {
  public:
-  // The run is to be stopped, due at once. Returns false, and changes nothing,
-  // when it is wanted already.
-  bool Add(const RunRef& run, TimePoint now);
+  // The run is to be stopped, due at once; nothing changes when it was to be
+  // stopped already.
+  void Add(const RunRef& run, TimePoint now);
   // The run is over, or the VM does not have it.
   void Remove(const RunRef& run) { stops_.erase(run); }
   void Clear() { stops_.clear(); }
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -104,7 +104,7 @@
   const VmStatus& status() const { return status_; }
   // Starts that wait for their turn at the runner.
   size_t starts_waiting() const { return start_lane_.waiting(); }
-  // Since when the oldest stop that an owner has ordered is not settled; zero
+  // For how long the oldest stop that an owner has ordered is not settled; zero
   // without any.
   Duration OldestStop() const;
   std::string Dump() const;
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -79,11 +79,11 @@
   // What ends later is reported again to the next owner.
   void Quiesce(std::function<void()> done);
 
-  // Since when the oldest workflow is over of which VMs still hold runs; zero
-  // without any.
+  // For how long the oldest workflow of which VMs still hold runs has been
+  // over; zero without any.
   Duration OldestOrphan() const;
-  // Since when the oldest stop is decided that no VM has confirmed; zero
-  // without any.
+  // For how long the oldest stop that no VM has confirmed has been decided;
+  // zero without any.
   Duration OldestStop() const;
   // Null before it is loaded.
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
