--- a/beamhill/dispatch/dispatch_pressure.cc
+++ b/beamhill/dispatch/dispatch_pressure.cc
@@ -160,7 +160,7 @@
   if (vm.serving.empty()) return 0;
   if (vm.ratios_version != interference_version_) vm.ratios.clear();
   vm.ratios_version = interference_version_;
-  for (const KnownRatio& known : vm.ratios) {
+  for (const dispatch_internal::KnownRatio& known : vm.ratios) {
     if (known.cpu_millis == filler.each.cpu_millis &&
         known.image == filler.image) {
       return known.ratio;
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -66,7 +66,7 @@
   if (held.tail_target > Duration(0)) {
     vm.serving_cpu += held.amount.cpu_millis;
     tail_targets_[step.image] = step.tail_target;
-    ServingImage& image = vm.serving[step.image];
+    dispatch_internal::ServingImage& image = vm.serving[step.image];
     vm.new_image = vm.new_image || image.runs == 0;
     ++image.runs;
     image.tail_target = step.tail_target;
--- a/beamhill/dispatch/dispatch_stops_test.cc
+++ b/beamhill/dispatch/dispatch_stops_test.cc
@@ -30,6 +30,18 @@
     return run;
   }
 
+  // A run on vm-1 is done, and its end, the first one, is settled.
+  RunRef SettleAnEnd() {
+    Take({});
+    Link("vm-1");
+    dispatcher_->AddWorkflow(OneStep("w", 1, 2), std::nullopt, now_);
+    const RunRef run = Tick().starts.at(0).second;
+    End("vm-1", 1, run, RunEndKind::kDone);
+    EXPECT_TRUE(Store());
+    EXPECT_THAT(Take().settled, ElementsAre(Pair("vm-1", 1)));
+    return run;
+  }
+
   // vm-1 holds a run that no workflow asks for.
   void ShowStray() {
     dispatcher_->OnLinkUp("vm-1");
@@ -107,13 +119,7 @@
 }
 
 TEST_F(DispatcherStopsTest, EndThatIsStillListedIsSettledAgain) {
-  Take({});
-  Link("vm-1");
-  dispatcher_->AddWorkflow(OneStep("w", 1, 2), std::nullopt, now_);
-  const RunRef run = Tick().starts.at(0).second;
-  End("vm-1", 1, run, RunEndKind::kDone);
-  ASSERT_TRUE(Store());
-  EXPECT_THAT(Take().settled, ElementsAre(Pair("vm-1", 1)));
+  const RunRef run = SettleAnEnd();
   dispatcher_->OnLinkDown("vm-1");
   Link("vm-1", {}, {{1, run, RunEndKind::kDone, ""}});
   Take();
@@ -123,13 +129,7 @@
 
 // Its executor missed the word that it is settled, on a link that stands.
 TEST_F(DispatcherStopsTest, EndThatIsReportedAgainIsSettledAgain) {
-  Take({});
-  Link("vm-1");
-  dispatcher_->AddWorkflow(OneStep("w", 1, 2), std::nullopt, now_);
-  const RunRef run = Tick().starts.at(0).second;
-  End("vm-1", 1, run, RunEndKind::kDone);
-  ASSERT_TRUE(Store());
-  EXPECT_THAT(Take().settled, ElementsAre(Pair("vm-1", 1)));
+  const RunRef run = SettleAnEnd();
   End("vm-1", 1, run, RunEndKind::kDone);
   Store();
   EXPECT_THAT(Take().settled, ElementsAre(Pair("vm-1", 1)));
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -157,8 +157,6 @@
   using StepAdvice = dispatch_internal::StepAdvice;
   using Job = dispatch_internal::Job;
   using HeldRun = dispatch_internal::HeldRun;
-  using ServingImage = dispatch_internal::ServingImage;
-  using KnownRatio = dispatch_internal::KnownRatio;
   using Vm = dispatch_internal::Vm;
   using LastingWait = dispatch_internal::LastingWait;
   using Relocation = dispatch_internal::Relocation;
--- a/beamhill/scheduler/work_owner_authority_test.cc
+++ b/beamhill/scheduler/work_owner_authority_test.cc
@@ -145,6 +145,31 @@
     loop_->Run();
   }
 
+  // The VM holds a run of the only workflow.
+  void HoldRunOf(const Workflow& workflow) {
+    Store({workflow});
+    vm_.Show({RunOf(workflow.id)});
+    ASSERT_TRUE(RunUntil([&] {
+      return owner_ && owner_->loaded() &&
+             owner_->dispatcher()->HeldRunsOf(workflow.id) == 1;
+    }));
+  }
+
+  // The advisor is asked after the decisions of a round and before they leave.
+  void EndAuthorityAsAStartIsDecided() {
+    Workflow advised = Job("a", /*lasting=*/false);
+    advised.policy.needs_advice = true;
+    on_advice_asked_ = [this] {
+      table_.set_fault(TableFault::kDown);
+      clock_ahead_ = kPastAuthority;
+    };
+    Store({advised, Job("w", /*lasting=*/false)});
+    ASSERT_TRUE(RunUntil([&] {
+      return owner_ && owner_->loaded() && clock_ahead_ > Duration(0) &&
+             owner_->dispatcher()->counts().starts > 0;
+    }));
+  }
+
   RunRef RunOf(const std::string& workflow, uint64_t run = 1) const {
     return {{workflow, 0, 0, 0}, run};
   }
@@ -153,12 +178,7 @@
 };
 
 TEST_F(WorkOwnerAuthorityTest, WorkThatIsCancelledMeanwhileIsStopped) {
-  Store({Job("w", /*lasting=*/true)});
-  vm_.Show({RunOf("w")});
-  ASSERT_TRUE(RunUntil([&] {
-    return owner_ && owner_->loaded() &&
-           owner_->dispatcher()->HeldRunsOf("w") == 1;
-  }));
+  HoldRunOf(Job("w", /*lasting=*/true));
   LoseTable();
   owner_->OnCancelStored("w");
   Pass(milliseconds(100));
@@ -189,12 +209,7 @@
 // The answer to the transaction that makes an end durable comes so late that
 // the authority is over.
 TEST_F(WorkOwnerAuthorityTest, EndThatIsStoredMeanwhileIsSettled) {
-  Store({Job("w", /*lasting=*/false)});
-  vm_.Show({RunOf("w")});
-  ASSERT_TRUE(RunUntil([&] {
-    return owner_ && owner_->loaded() &&
-           owner_->dispatcher()->HeldRunsOf("w") == 1;
-  }));
+  HoldRunOf(Job("w", /*lasting=*/false));
   Pass(milliseconds(300));
   hold_commits_ = true;
   vm_.ReportEnd({1, RunOf("w"), RunEndKind::kDone, ""});
@@ -214,17 +229,7 @@
 // The authority ends between the decision and the sending of a start, which a
 // large deployment makes milliseconds long.
 TEST_F(WorkOwnerAuthorityTest, StartThatIsDecidedAsItEndsIsCarriedOut) {
-  Workflow advised = Job("a", /*lasting=*/false);
-  advised.policy.needs_advice = true;
-  on_advice_asked_ = [this] {
-    table_.set_fault(TableFault::kDown);
-    clock_ahead_ = kPastAuthority;
-  };
-  Store({advised, Job("w", /*lasting=*/false)});
-  ASSERT_TRUE(RunUntil([&] {
-    return owner_ && owner_->loaded() && clock_ahead_ > Duration(0) &&
-           owner_->dispatcher()->counts().starts > 0;
-  }));
+  EndAuthorityAsAStartIsDecided();
   Pass(milliseconds(100));
   ReturnTable();
   EXPECT_TRUE(RunUntil([&] {
@@ -236,12 +241,7 @@
 
 // What is kept until the authority is back does not leave before.
 TEST_F(WorkOwnerAuthorityTest, NoStopLeavesWithoutAuthority) {
-  Store({Job("w", /*lasting=*/true)});
-  vm_.Show({RunOf("w")});
-  ASSERT_TRUE(RunUntil([&] {
-    return owner_ && owner_->loaded() &&
-           owner_->dispatcher()->HeldRunsOf("w") == 1;
-  }));
+  HoldRunOf(Job("w", /*lasting=*/true));
   LoseTable();
   owner_->OnCancelStored("w");
   Pass(milliseconds(300));
@@ -250,17 +250,7 @@
 }
 
 TEST_F(WorkOwnerAuthorityTest, NoStartLeavesOnceTheAuthorityHasEnded) {
-  Workflow advised = Job("a", /*lasting=*/false);
-  advised.policy.needs_advice = true;
-  on_advice_asked_ = [this] {
-    table_.set_fault(TableFault::kDown);
-    clock_ahead_ = kPastAuthority;
-  };
-  Store({advised, Job("w", /*lasting=*/false)});
-  ASSERT_TRUE(RunUntil([&] {
-    return owner_ && owner_->loaded() && clock_ahead_ > Duration(0) &&
-           owner_->dispatcher()->counts().starts > 0;
-  }));
+  EndAuthorityAsAStartIsDecided();
   Pass(milliseconds(300));
   EXPECT_FALSE(keeper_->MayAct());
   EXPECT_TRUE(vm_.started().empty());
