--- a/beamhill/dispatch/dispatch_halls.cc
+++ b/beamhill/dispatch/dispatch_halls.cc
@@ -51,8 +51,9 @@
       if (!AllAtWork(*job, run, now)) continue;
       const auto loss =
           LeastLoss(name, *job, {run.task.round, run.task.step}, now);
-      if (loss)
+      if (loss) {
         MoveOff(name, vm, *job, run, "its data hall is to be emptied", now);
+      }
     }
   }
 }
