--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -11,6 +11,7 @@
 #define BEAMHILL_DISPATCH_DISPATCH_MESSAGES_H_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -144,11 +145,14 @@
   Duration remaining{};
   // How much longer the runner is slow because it has just started.
   Duration cold{};
+  // The runner answers calls, but its tasks make no progress.
+  bool stalled = false;
 
+  static constexpr size_t kFieldsAtFirst = 9;  // Old messages lack `stalled`.
   template <typename S>
   static auto Fields(S& s) {
     return std::tie(s.incarnation, s.service, s.hall, s.rack, s.labels,
-                    s.capacity, s.draining, s.remaining, s.cold);
+                    s.capacity, s.draining, s.remaining, s.cold, s.stalled);
   }
 };
 
--- a/beamhill/dispatch/dispatch_messages_test.cc
+++ b/beamhill/dispatch/dispatch_messages_test.cc
@@ -54,5 +54,19 @@
   EXPECT_THAT(crashes[0].runs, testing::ElementsAre(5, 6));
 }
 
+// Schedulers are upgraded before executors, so a status without the `stalled`
+// field must remain readable.
+TEST(VmStatusTest, StatusWithoutStalledFieldIsDecoded) {
+  VmStatus status;
+  status.incarnation = "runner-1";
+  status.stalled = true;
+  Json json = Json::from_cbor(EncodeDispatch(status));
+  json.back().erase(json.back().size() - 1);
+  const auto read = DecodeDispatch(Bytes(json));
+  ASSERT_TRUE(IsOk(read));
+  EXPECT_EQ(std::get<VmStatus>(ValueOf(read)).incarnation, "runner-1");
+  EXPECT_FALSE(std::get<VmStatus>(ValueOf(read)).stalled);
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -24,7 +24,7 @@
 bool SameStatus(const VmStatus& a, const VmStatus& b) {
   return a.incarnation == b.incarnation && a.service == b.service &&
          a.hall == b.hall && a.labels == b.labels && a.capacity == b.capacity &&
-         a.draining == b.draining;
+         a.draining == b.draining && a.stalled == b.stalled;
 }
 
 }  // namespace
