Submissions: nothing new is sent while the table's last outcome is unknown

Cause: when the table resets connections, the first transaction ends as unknown at once, and each later submission was sent in a transaction of its own, by the owner and then by each scheduler itself. All of them were answered 504 once the outage was noticed 0.9 s later, although the table had taken none, and callers can't repeat those. Change: after a transaction of unknown outcome, and after 0.3 s without any answer of the table, a read comes first. Until it is answered only submissions that an earlier transaction may have stored are sent; the others can still be refused.

--- a/beamhill/scheduler/job_repository.cc
+++ b/beamhill/scheduler/job_repository.cc
@@ -15,6 +15,9 @@
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
 // Latest end of a submission that was sent; callers wait for a few seconds.
 constexpr Duration kSubmitTimeout = std::chrono::milliseconds(2200);
+// After this long without any answer of the table, a read comes first. A read
+// takes a few milliseconds, and what was not sent can still be refused.
+constexpr Duration kMaxUncheckedSilence = std::chrono::milliseconds(300);
 // Each workflow takes three of a transaction's 100 entries (the condition that
 // its row does not exist, the row and its marker) and up to a few kilobytes of
 // its megabyte.
@@ -65,8 +68,11 @@
 
 }  // namespace
 
-JobRepository::JobRepository(Table table, std::function<TimePoint()> now)
-    : table_(std::move(table)), now_(std::move(now)) {}
+JobRepository::JobRepository(Table table, std::function<TimePoint()> now,
+                             std::function<Duration()> table_silence)
+    : table_(std::move(table)),
+      now_(std::move(now)),
+      table_silence_(std::move(table_silence)) {}
 
 void JobRepository::Submit(const Workflow& workflow,
                            std::function<void(SubmitResult)> done) {
@@ -82,7 +88,8 @@
       it == submissions_.end() ? Add(workflow) : Number{it->first};
   submissions_.at(number).done.push_back(std::move(done));
   const bool none_open = open_ == 0 && !table_down_;
-  if (none_open || CanSend()) SendPending();
+  if (CanSend() || (none_open && TableResponds())) SendPending();
+  if (CheckDue()) CheckStored();
 }
 
 JobRepository::Number JobRepository::Add(const Workflow& workflow) {
@@ -122,6 +129,17 @@
              !submissions_.empty()) {
     CheckStored();
   }
+  if (CheckDue()) CheckStored();
+}
+
+bool JobRepository::TableResponds() const {
+  return !awaiting_answer_ && table_silence_() < kMaxUncheckedSilence;
+}
+
+bool JobRepository::CheckDue() const {
+  return open_ == 0 && !table_down_ && !check_in_flight_ && !TableResponds() &&
+         !submissions_.empty() &&
+         now_() - last_check_ >= answer_times_.ReplyTimeout();
 }
 
 bool JobRepository::CanSend() const {
@@ -137,6 +155,7 @@
 // submissions can still be refused if the table proves to be down.
 void JobRepository::CheckStored() {
   check_in_flight_ = true;
+  last_check_ = now_();
   const Number number = submissions_.begin()->first;
   ReadRow(rows::kWorkflows + submissions_.begin()->second.workflow.id,
           [this, number, sent_at = now_()](const std::optional<Row>& row) {
@@ -155,16 +174,22 @@
   if (stored && submissions_.count(number) > 0) {
     Finish(number, SubmitResult::kAlreadyStored);
   }
-  if (!lost || !awaiting_answer_) return;
+  // With no transaction open, any answer shows that the table responds.
+  if (!lost && open_ > 0) return;
+  if (!awaiting_answer_ && open_ > 0) return;
   awaiting_answer_ = false;
   if (CanSend()) SendPending();
 }
 
 void JobRepository::SendPending() {
+  // If a transaction is lost in an outage, everything in it is of unknown
+  // outcome, and callers can't retry that. So what was never sent waits until
+  // the table responds.
+  const bool responds = TableResponds();
   std::vector<Number> batch;
   for (const auto& [number, submission] : submissions_) {
     if (batch.size() == kMaxBatch) break;
-    batch.push_back(number);
+    if (responds || submission.first_sent_at) batch.push_back(number);
   }
   if (!batch.empty()) Send(batch);
 }
--- a/beamhill/scheduler/job_repository.h
+++ b/beamhill/scheduler/job_repository.h
@@ -61,9 +61,13 @@
   using LoadDone = std::function<void(std::optional<Workflow>,
                                       std::optional<ProgressRecord>)>;
 
+  // `table_silence` returns the time since the table last answered any call of
+  // this process. If it is long, submissions wait for the answer to a read
+  // before they are sent.
   explicit JobRepository(
       Table table,
-      std::function<TimePoint()> now = [] { return BootClock::now(); });
+      std::function<TimePoint()> now = [] { return BootClock::now(); },
+      std::function<Duration()> table_silence = [] { return Duration(0); });
 
   // Stores the workflow unless one with its id is stored. A second call for an
   // id whose first call is unanswered gets the same answer.
@@ -98,11 +102,19 @@
   // Whether pending submissions may be sent: an answer has arrived since the
   // last transaction, or none is expected any more.
   bool CanSend() const;
+  // Whether the table has recently answered, so that a transaction sent now is
+  // likely to be answered as well.
+  bool TableResponds() const;
+  // Whether it is time for a read that shows whether the table answers again,
+  // since the outcome of the last transaction is unknown.
+  bool CheckDue() const;
   // Reads the row of the oldest pending submission to see whether its
-  // transaction took effect.
+  // transaction took effect, and whether the table answers.
   void CheckStored();
   void OnStoredCheck(Number number, TimePoint sent_at,
                      const std::optional<Row>& row);
+  // Sends the pending submissions; while the table does not respond, only those
+  // that an earlier transaction may have stored.
   void SendPending();
   void Send(const std::vector<Number>& batch);
   void OnBatchAnswer(const std::vector<Number>& batch, TimePoint sent_at,
@@ -134,12 +146,14 @@
 
   Table table_;
   std::function<TimePoint()> now_;
+  std::function<Duration()> table_silence_;
   std::map<Number, Submission> submissions_;
   Number last_number_ = 0;
   ResponseTimeEstimator answer_times_;
   int open_ = 0;                  // Unanswered transactions.
   bool awaiting_answer_ = false;  // Since the last transaction.
   bool check_in_flight_ = false;
+  TimePoint last_check_{};
   TimePoint last_sent_{};
   // Backoff after refusals, and its end.
   Duration retry_delay_{};
--- a/beamhill/scheduler/job_repository_test.cc
+++ b/beamhill/scheduler/job_repository_test.cc
@@ -107,8 +107,8 @@
         return true;
       });
     };
-    held_repository_ =
-        std::make_unique<JobRepository>(table, [this] { return now_; });
+    held_repository_ = std::make_unique<JobRepository>(
+        table, [this] { return now_; }, [this] { return table_silence_; });
   }
 
   void SubmitHeld(const std::string& id) {
@@ -131,6 +131,7 @@
   }
 
   TimePoint now_{std::chrono::hours(1)};
+  Duration table_silence_{};
   bool answer_reads_ = true;
   Duration read_latency_{};
   // Each returns true once answered.
@@ -186,6 +187,53 @@
   EXPECT_EQ(results_.count("a"), 0);
 }
 
+// Guards against submissions of unknown outcome at the begin of an outage in
+// which the table resets connections: each one was sent at once and could not
+// be refused any more.
+TEST_F(JobRepositoryAnswersTest, NothingNewIsSentAfterAResetTransaction) {
+  answer_reads_ = false;
+  SubmitHeld("a");
+  AnswerHeld(0, CommitResult::kUnknown);
+  SubmitHeld("b");
+  AdvanceClock(std::chrono::milliseconds(700));
+  for (size_t i = 1; i < held_.size(); ++i) {
+    EXPECT_THAT(held_[i].workflows, testing::ElementsAre("a"));
+  }
+  held_repository_->SetTableDown(true);
+  EXPECT_EQ(results_.at("b"), SubmitResult::kRefused);
+  EXPECT_EQ(results_.count("a"), 0);
+}
+
+TEST_F(JobRepositoryAnswersTest, SubmissionIsSentOnceTheTableAnswersAgain) {
+  SubmitHeld("a");
+  AnswerHeld(0, CommitResult::kUnknown);
+  SubmitHeld("b");
+  EXPECT_THAT(held_, testing::SizeIs(1));
+  AdvanceClock(std::chrono::milliseconds(50));
+  ASSERT_THAT(held_, testing::SizeIs(2));
+  EXPECT_THAT(held_[1].workflows, testing::ElementsAre("a", "b"));
+}
+
+// A scheduler that has not called the table for a while may be the first to
+// notice an outage.
+TEST_F(JobRepositoryAnswersTest, ReadComesFirstAfterALongSilence) {
+  table_silence_ = std::chrono::milliseconds(500);
+  answer_reads_ = false;
+  SubmitHeld("a");
+  AdvanceClock(std::chrono::milliseconds(500));
+  EXPECT_THAT(held_, testing::IsEmpty());
+  held_repository_->SetTableDown(true);
+  EXPECT_EQ(results_.at("a"), SubmitResult::kRefused);
+
+  held_repository_->SetTableDown(false);
+  answer_reads_ = true;
+  SubmitHeld("b");
+  table_silence_ = Duration(0);
+  AdvanceClock(std::chrono::milliseconds(2000));
+  ASSERT_THAT(held_, testing::SizeIs(1));
+  EXPECT_THAT(held_[0].workflows, testing::ElementsAre("b"));
+}
+
 // Guards against repeats that overload a slow table: with 0.18 s per
 // transaction they filled its queue until it refused the owner's transactions
 // as well.
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -45,7 +45,8 @@
       hooks_(std::move(hooks)),
       random_(RandomSeed()),
       incarnation_(random_() >> 1),
-      repository_(table),
+      repository_(
+          table, [] { return BootClock::now(); }, hooks_.table_silence),
       owner_queries_(loop),
       relays_(loop),
       queried_peers_(loop, QueryHooks()) {
