--- a/beamhill/dispatch/dispatch_best_effort.cc
+++ b/beamhill/dispatch/dispatch_best_effort.cc
@@ -99,11 +99,6 @@
 
 }  // namespace
 
-void Dispatcher::InvalidateCaches(Vm& vm) {
-  vm.best_effort_sums.valid = false;
-  vm.tail_ratios.clear();
-}
-
 double Dispatcher::FreeCpuFor(const Vm& vm, double best_effort_rank) const {
   const auto& sums = BestEffortCpuSumsOf(vm).sums;
   const auto after = std::upper_bound(
--- a/beamhill/dispatch/dispatch_crashes.cc
+++ b/beamhill/dispatch/dispatch_crashes.cc
@@ -14,9 +14,6 @@
 
 using dispatch_internal::Vm;
 
-// Time for a start order and its report to arrive, so that the owner and the
-// executor count the same window.
-constexpr Duration kTrialMargin = std::chrono::milliseconds(200);
 // An executor sends heartbeats for this long after its runner's last answer.
 constexpr Duration kHeartbeatLag = std::chrono::milliseconds(1500);
 // At most 1/4 of the VMs, plus one, is on trial at once, as nothing else starts
@@ -128,16 +125,6 @@
   }
 }
 
-void Dispatcher::BeginTrial(Vm& vm, const std::string& workflow,
-                            TimePoint begins) {
-  vm.trial = dispatch_internal::Trial{workflow, begins,
-                                      begins + kCrashWindow + kTrialMargin};
-}
-
-bool Dispatcher::IsOnTrial(const Vm& vm, TimePoint now) {
-  return vm.trial && now < vm.trial->ends;
-}
-
 void Dispatcher::OpenTrial(const Job& job, const WorkflowStep& step,
                            const WorkflowProgress::OpenStep& open,
                            const WorkflowProgress::Task& task, TimePoint now) {
@@ -161,7 +148,8 @@
   }
   if (best == nullptr) return;
   BeginTrial(*best, job.progress.workflow().id,
-             std::max(now, best->last_start + kCrashWindow + kTrialMargin));
+             std::max(now, best->last_start + kCrashWindow +
+                               dispatch_internal::kTrialMargin));
 }
 
 Dispatcher::Vm* Dispatcher::ChooseForTrial(
--- a/beamhill/dispatch/dispatch_halls.cc
+++ b/beamhill/dispatch/dispatch_halls.cc
@@ -27,12 +27,6 @@
   return evacuations_.Holds(vm.status.hall);
 }
 
-TimePoint Dispatcher::LatestStart(const Vm& vm, TimePoint now) {
-  // The stamp was taken before the heartbeat arrived, so the VM's clock has
-  // reached at least this time.
-  return vm.stamp + (now - vm.stamped_at) + kStartOrderTtl;
-}
-
 void Dispatcher::EvacuateHalls(TimePoint now) {
   // While long-running tasks wait for room, a moved one might find none.
   if (evacuations_.halls.empty() || !reserved_capacity_.empty()) return;
--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -23,9 +23,6 @@
 // One relocation at a time per this many VMs: a layout changes within seconds
 // at any size, and the effect of a change is seen before the next one.
 constexpr size_t kVmsPerRelocation = 12;
-// Tasks count as not running for this long after their start, as they may still
-// be warming up.
-constexpr Duration kStartUpTime = std::chrono::milliseconds(2500);
 
 ServingLayout::Images ServingImagesOn(const Vm& vm) {
   ServingLayout::Images images;
@@ -35,14 +32,6 @@
 
 }  // namespace
 
-double Dispatcher::FreeCores(const Vm& vm) {
-  const auto room = static_cast<double>(vm.status.capacity.cpu_millis -
-                                        (vm.used.cpu_millis - vm.serving_cpu));
-  const double serving = dispatch_internal::kServingUtilization *
-                         static_cast<double>(vm.serving_cpu);
-  return (room - serving) / kMillicoresPerCore;
-}
-
 void Dispatcher::UpdateBestEffortDemand() {
   std::map<std::string, double> asked;
   for (const auto& [id, job] : jobs_) {
@@ -120,7 +109,8 @@
   const auto& tasks = job.progress.TasksOf(ref.round, ref.step);
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     const bool held = tasks[i].phase == WorkflowProgress::Phase::kHeld;
-    if (!held || now - tasks[i].held_since < kStartUpTime) return false;
+    if (!held || now - tasks[i].held_since < dispatch_internal::kStartUpTime)
+      return false;
     const auto vm = vms_.find(tasks[i].vm);
     if (vm == vms_.end()) return false;
     const RunRef run{{ref.workflow, ref.round, ref.step, i}, tasks[i].run};
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -37,6 +37,37 @@
 // earlier owners without a stored counter.
 constexpr uint64_t kRunsPerEpoch = 1000;
 
+// When the round's objective ends. Rounds with a due time count from there.
+TimePoint DueOf(const dispatch_internal::Job& job, uint32_t round,
+                TimePoint now, UnixMillis unix_now) {
+  const Workflow& workflow = job.progress.workflow();
+  if (workflow.repetitions == 0) return job.added_at + job.objective;
+  const UnixMillis began = workflow.first_due + round * workflow.interval;
+  return now + (began - unix_now) + job.objective;
+}
+
+Lateness LatenessOf(const dispatch_internal::Job& job, uint32_t round,
+                    TimePoint now, UnixMillis unix_now) {
+  const TimePoint due = DueOf(job, round, now, unix_now);
+  const TimePoint end = now + job.progress.RemainingCriticalPath(round, now);
+  if (end > due + (kLateFactor - 1) * job.objective) return Lateness::kTooLate;
+  return end > due ? Lateness::kLate : Lateness::kInTime;
+}
+
+double BestEffortRankOf(const dispatch_internal::Job& job, uint32_t round,
+                        TimePoint now, UnixMillis unix_now) {
+  return BestEffortRank(LatenessOf(job, round, now, unix_now),
+                        job.progress.RemainingCoreSeconds(round),
+                        DueOf(job, round, now, unix_now));
+}
+
+// Latest start time for an order sent now, by the clock of the VM.
+TimePoint LatestStart(const dispatch_internal::Vm& vm, TimePoint now) {
+  // The stamp was taken before the heartbeat arrived, so the VM's clock has
+  // reached at least this time.
+  return vm.stamp + (now - vm.stamped_at) + kStartOrderTtl;
+}
+
 }  // namespace
 
 uint64_t Dispatcher::NextRun(const WorkflowProgress::Task& task) const {
@@ -75,30 +106,6 @@
          workflow.policy.target_latency;
 }
 
-// When the round's objective ends. Rounds with a due time count from there.
-TimePoint Dispatcher::DueOf(const Job& job, uint32_t round, TimePoint now,
-                            UnixMillis unix_now) {
-  const Workflow& workflow = job.progress.workflow();
-  if (workflow.repetitions == 0) return job.added_at + job.objective;
-  const UnixMillis began = workflow.first_due + round * workflow.interval;
-  return now + (began - unix_now) + job.objective;
-}
-
-Lateness Dispatcher::LatenessOf(const Job& job, uint32_t round, TimePoint now,
-                                UnixMillis unix_now) {
-  const TimePoint due = DueOf(job, round, now, unix_now);
-  const TimePoint end = now + job.progress.RemainingCriticalPath(round, now);
-  if (end > due + (kLateFactor - 1) * job.objective) return Lateness::kTooLate;
-  return end > due ? Lateness::kLate : Lateness::kInTime;
-}
-
-double Dispatcher::BestEffortRankOf(const Job& job, uint32_t round,
-                                    TimePoint now, UnixMillis unix_now) {
-  return BestEffortRank(LatenessOf(job, round, now, unix_now),
-                        job.progress.RemainingCoreSeconds(round),
-                        DueOf(job, round, now, unix_now));
-}
-
 void Dispatcher::UpdateBestEffortRank(Job& job, TimePoint now,
                                       UnixMillis unix_now) {
   const Workflow& workflow = job.progress.workflow();
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -21,6 +21,24 @@
 // a new runner incarnation registers.
 constexpr Duration kUnreachableBackOff = std::chrono::milliseconds(1500);
 
+// Stops held runs that the inventory doesn't list, and makes all earlier stops
+// due again.
+void StopMissing(dispatch_internal::Vm& vm, const VmInventory& inventory,
+                 TimePoint now) {
+  std::set<RunRef> listed(inventory.running.begin(), inventory.running.end());
+  listed.insert(inventory.pending.begin(), inventory.pending.end());
+  for (const RunRef& run : vm.stops.Runs()) {
+    if (listed.count(run) == 0 && vm.held.count(run) == 0) vm.stops.Remove(run);
+  }
+  for (const auto& [run, held] : vm.held) {
+    // A start may still be on its way. A stop makes sure that it ends or never
+    // begins.
+    if (listed.count(run) == 0) vm.stops.Add(run, now);
+  }
+  // Earlier stops may be lost with their link or their executor.
+  vm.stops.MakeAllDue();
+}
+
 }  // namespace
 
 void Dispatcher::MigrateRun(const std::string& name, Vm& vm, Job& job,
@@ -180,11 +198,6 @@
   vm.stops.Add(run, now);
 }
 
-void Dispatcher::UpdateWarmUp(Vm& vm, TimePoint now) {
-  vm.warm_at = now + vm.status.cold;
-  vm.cold = vm.status.cold > Duration(0);
-}
-
 void Dispatcher::ApplyInventoryStatus(const std::string& name, Vm& vm,
                                       const VmStatus& status, TimePoint now) {
   if (status.incarnation != vm.status.incarnation) {
@@ -205,22 +218,6 @@
   UpdateWarmUp(vm, now);
 }
 
-void Dispatcher::StopMissing(Vm& vm, const VmInventory& inventory,
-                             TimePoint now) {
-  std::set<RunRef> listed(inventory.running.begin(), inventory.running.end());
-  listed.insert(inventory.pending.begin(), inventory.pending.end());
-  for (const RunRef& run : vm.stops.Runs()) {
-    if (listed.count(run) == 0 && vm.held.count(run) == 0) vm.stops.Remove(run);
-  }
-  for (const auto& [run, held] : vm.held) {
-    // A start may still be on its way. A stop makes sure that it ends or never
-    // begins.
-    if (listed.count(run) == 0) vm.stops.Add(run, now);
-  }
-  // Earlier stops may be lost with their link or their executor.
-  vm.stops.MakeAllDue();
-}
-
 bool Dispatcher::OnInventory(const std::string& vm,
                              const VmInventory& inventory, TimePoint now) {
   Vm& state = vms_[vm];
@@ -258,7 +255,7 @@
   SendTraits(vm, state);
   // An earlier owner may have set another policy.
   Send(vm, PacePolicyNotice{options_.epoch, best_effort_load_.policy()});
-  MarkReconciled(vm);
+  unreconciled_.erase(vm);
   return true;
 }
 
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -75,10 +75,6 @@
   if (on_decision_) on_decision_(workflow, event, detail);
 }
 
-void Dispatcher::MarkReconciled(const std::string& vm) {
-  unreconciled_.erase(vm);
-}
-
 bool Dispatcher::Knows(const std::string& workflow) const {
   return jobs_.count(workflow) > 0;
 }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -182,8 +182,6 @@
   bool MayStart(const Job& job) const;
   void LogDecision(const std::string& workflow, const char* event,
                    const std::string& detail);
-  // Notes that the VM's runs of earlier owners are known.
-  void MarkReconciled(const std::string& vm);
   void OnOver(Job& job, TimePoint now);
   void ExpireLeases(TimePoint now);
   // Whether the bound has passed and the ownership was confirmed since.
@@ -214,12 +212,8 @@
   // Takes over a run listed in an inventory; stops it when its task is not
   // waiting for one.
   void Adopt(const std::string& name, Vm& vm, const RunRef& run, TimePoint now);
-  static void UpdateWarmUp(Vm& vm, TimePoint now);
   void ApplyInventoryStatus(const std::string& name, Vm& vm,
                             const VmStatus& status, TimePoint now);
-  // Stops held runs that the inventory doesn't list, and makes all earlier
-  // stops due again.
-  static void StopMissing(Vm& vm, const VmInventory& inventory, TimePoint now);
   void SendTraits(const std::string& name, const Vm& vm);
   // Counts a done or failed run, for the VM's health too.
   void RecordOutcome(const std::string& name, Job& job, const RunEnd& end,
@@ -280,8 +274,6 @@
   // Processor time of the VM that is left to a best-effort task of this rank,
   // in millicores. Lower ranks come first and count with their paced use.
   double FreeCpuFor(const Vm& vm, double best_effort_rank) const;
-  // To be called when the VM's runs or their paces change.
-  static void InvalidateCaches(Vm& vm);
   // Whether the workflow is due its guaranteed run, which it gets even on a
   // full VM or one where it is harmful.
   static bool NeedsGuaranteedRun(const Job& job);
@@ -302,8 +294,6 @@
                             const WorkflowStep& step, TimePoint now) const;
 
   // In dispatch_layout.cc.
-  // Cores of the VM that are left for best-effort tasks.
-  static double FreeCores(const Vm& vm);
   void UpdateBestEffortDemand();
   bool IsHarmfulTo(const std::string& best_effort,
                    const std::string& serving) const;
@@ -333,8 +323,6 @@
   // while all others run, and only if another VM has room. Other tasks end by
   // themselves.
   void EvacuateHalls(TimePoint now);
-  // Latest start time for an order sent now, by the clock of the VM.
-  static TimePoint LatestStart(const Vm& vm, TimePoint now);
 
   // In dispatch_long_running.cc.
   void RefreshLongRunning(TimePoint now);
@@ -378,10 +366,6 @@
   void OpenTrial(const Job& job, const WorkflowStep& step,
                  const WorkflowProgress::OpenStep& open,
                  const WorkflowProgress::Task& task, TimePoint now);
-  // Keeps other workflows off until a start at `begins` can no longer crash the
-  // runner.
-  static void BeginTrial(Vm& vm, const std::string& workflow, TimePoint begins);
-  static bool IsOnTrial(const Vm& vm, TimePoint now);
 
   // In dispatch_placement.cc.
   void StartWaitingTasks(TimePoint now, UnixMillis unix_now);
@@ -393,12 +377,6 @@
   Duration LatencyObjectiveOf(const Job& job, uint32_t round) const;
   // Number of waves in which a wide step is assumed to run.
   int64_t WavesOf(const Job& job, const WorkflowStep& step) const;
-  static TimePoint DueOf(const Job& job, uint32_t round, TimePoint now,
-                         UnixMillis unix_now);
-  static Lateness LatenessOf(const Job& job, uint32_t round, TimePoint now,
-                             UnixMillis unix_now);
-  static double BestEffortRankOf(const Job& job, uint32_t round, TimePoint now,
-                                 UnixMillis unix_now);
   // Updates the rank by the earliest unfinished round.
   void UpdateBestEffortRank(Job& job, TimePoint now, UnixMillis unix_now);
   static TaskTraits TraitsOf(const Job& job, const WorkflowStep& step);
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -28,6 +28,12 @@
 // Mean share of their requested processor time that serving tasks use, from the
 // workload specifications. Best-effort tasks use the rest.
 inline constexpr double kServingUtilization = 0.55;
+// Long-running tasks count as not running for this long after their start, as
+// they may still be warming up.
+inline constexpr Duration kStartUpTime = std::chrono::milliseconds(2500);
+// Time for a start order and its report to arrive, so that the owner and the
+// executor count the same window.
+inline constexpr Duration kTrialMargin = std::chrono::milliseconds(200);
 
 // The placement advisor's permission to start a step on one runner.
 struct Ticket {
@@ -178,6 +184,36 @@
   bool has_new_image = false;
 };
 
+// Keeps other workflows off until a start at `begins` can no longer crash the
+// runner.
+inline void BeginTrial(Vm& vm, const std::string& workflow, TimePoint begins) {
+  vm.trial = Trial{workflow, begins, begins + kCrashWindow + kTrialMargin};
+}
+
+inline bool IsOnTrial(const Vm& vm, TimePoint now) {
+  return vm.trial && now < vm.trial->ends;
+}
+
+inline void UpdateWarmUp(Vm& vm, TimePoint now) {
+  vm.warm_at = now + vm.status.cold;
+  vm.cold = vm.status.cold > Duration(0);
+}
+
+// To be called when the VM's runs or their paces change.
+inline void InvalidateCaches(Vm& vm) {
+  vm.best_effort_sums.valid = false;
+  vm.tail_ratios.clear();
+}
+
+// Cores of the VM that are left for best-effort tasks.
+inline double FreeCores(const Vm& vm) {
+  const auto room = static_cast<double>(vm.status.capacity.cpu_millis -
+                                        (vm.used.cpu_millis - vm.serving_cpu));
+  const double serving =
+      kServingUtilization * static_cast<double>(vm.serving_cpu);
+  return (room - serving) / kMillicoresPerCore;
+}
+
 }  // namespace beamhill::dispatch_internal
 
 #endif  // BEAMHILL_DISPATCH_INTERNAL_DISPATCH_STATE_H_
