Dispatcher: moves work off VMs whose tasks make no progress

Cause: the owner kept placing work on VMs whose runners answer calls while their tasks stand still; nearly every wide workflow had a task there and waited until the stall ended. Change: a VM that its executor reports as stalled gets no starts, reservations, trials or moved runs, and its tails are not learned from. Runs that are not long-running are stopped there and start elsewhere. Long-running ones move where another VM has room, of each step as many at once as max_unavailable allows and at least one. One run probes the VM after 1 s; if it shows no progress within 1.5 s it is moved, and the next follows after 2 s, then 4 s. With more than a third of the VMs stalled, all stay in use. StalledVms holds the state; gauge beamhill_stalled_vms, owner_summary and /state show it.

--- a/beamhill/dispatch/dispatch_best_effort.cc
+++ b/beamhill/dispatch/dispatch_best_effort.cc
@@ -130,7 +130,8 @@
                                       TimePoint now) const {
   return std::any_of(vms_.begin(), vms_.end(), [&](const auto& entry) {
     const auto& [name, vm] = entry;
-    return name != except && Fits(vm, name, job, step, now) &&
+    return name != except && !stalls_.Avoids(name) &&
+           Fits(vm, name, job, step, now) &&
            FreeCpuFor(vm, kLastRank) >=
                static_cast<double>(step.each.cpu_millis) &&
            WorstTailRatio(vm, step) < dispatch_internal::kHarmfulTailRatio;
--- a/beamhill/dispatch/dispatch_crashes.cc
+++ b/beamhill/dispatch/dispatch_crashes.cc
@@ -137,7 +137,7 @@
   Vm* best = nullptr;
   double least = 0;
   for (auto& [name, vm] : vms_) {
-    if (IsOnTrial(vm, now)) continue;
+    if (IsOnTrial(vm, now) || stalls_.Avoids(name)) continue;
     if (only_stable && IsUnstable(vm, now)) continue;
     if (!MayHost(vm, name, job, step, open, now)) continue;
     const double cost = TrialCost(vm, step, now) +
@@ -167,7 +167,7 @@
   }
   if (it != vms_.end()) {
     Vm& vm = it->second;
-    if (now < vm.trial->begins ||
+    if (now < vm.trial->begins || stalls_.Avoids(it->first) ||
         !MayHost(vm, it->first, job, step, open, now)) {
       return nullptr;
     }
--- a/beamhill/dispatch/dispatch_interference.cc
+++ b/beamhill/dispatch/dispatch_interference.cc
@@ -57,8 +57,8 @@
     state.paces[load.image] = load.percent;
     state.best_effort_cpu_in_use += load.cpu_millis;
   }
-  // While a runner warms up, tails are long without any interference.
-  if (state.cold) return;
+  // While a runner warms up or stalls, tails are long without any interference.
+  if (state.cold || state.status.stalled) return;
   for (const ServingTailLatency& serving : report.serving) {
     interference_.Observe(serving.image, loads, serving.tail);
   }
--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -112,7 +112,7 @@
   for (const auto& [name, vm] : vms_) {
     const VmStatus& status = vm.status;
     if (!vm.linked || !vm.has_inventory || status.draining ||
-        status.incarnation.empty() || IsEvacuated(vm) ||
+        status.incarnation.empty() || IsEvacuated(vm) || stalls_.Avoids(name) ||
         status.service != job.progress.workflow().service ||
         health_.IsQuarantined(name) || reserved_capacity_.count(name) > 0) {
       continue;
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -266,6 +266,7 @@
     return false;
   }
   if (IsEvacuated(vm)) return false;
+  if (stalls_.Avoids(name) && !MayProbeStall(name, vm, step, now)) return false;
   if (IsOnTrial(vm, now) && vm.trial->workflow != job.progress.workflow().id) {
     return false;
   }
@@ -378,7 +379,11 @@
       *name = vm_name;
     }
   }
-  if (best == nullptr && simple) no_room_.emplace_back(workflow.service, step);
+  // Other steps might find room on a stalled VM, as its probe.
+  const bool never_probes = step.long_running || step.gang;
+  if (best == nullptr && simple && (stalls_.empty() || !never_probes)) {
+    no_room_.emplace_back(workflow.service, step);
+  }
   return best;
 }
 
@@ -389,6 +394,10 @@
   Hold(vm, {ref, run}, job, step);
   vm.held[{ref, run}].since = now;
   vm.last_start = now;
+  if (stalls_.Avoids(name)) {
+    stalls_.BeginProbe(name, {ref, run}, now);
+    LogDecision(ref.workflow, "vm_probed", name + ", one run is started");
+  }
   job.idle_since.reset();
   const std::string checkpoint =
       step.saves_progress ? job.progress.At(ref).checkpoint : "";
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -216,6 +216,7 @@
   }
   vm.status = status;
   UpdateWarmUp(vm, now);
+  UpdateStall(name, vm, now);
 }
 
 bool Dispatcher::OnInventory(const std::string& vm,
--- /dev/null
+++ b/beamhill/dispatch/dispatch_stalls.cc
@@ -0,0 +1,194 @@
+// Dispatcher: keeps work off VMs whose runners answer calls while their tasks
+// make no progress, and finds out with single runs when they progress again.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "beamhill/dispatch/dispatcher.h"
+
+namespace beamhill {
+namespace {
+
+using dispatch_internal::Vm;
+
+// How often long-running tasks are considered for a move, which compares all
+// VMs for each of them.
+constexpr Duration kMoveInterval = std::chrono::milliseconds(100);
+
+// Whether the VM holds the run and has not been told to stop it.
+bool Keeps(const Vm& vm, const RunRef& run) {
+  return vm.held.count(run) > 0 && !vm.stops.Has(run);
+}
+
+}  // namespace
+
+void Dispatcher::UpdateStall(const std::string& name, const Vm& vm,
+                             TimePoint now) {
+  const std::string& incarnation = vm.status.incarnation;
+  const bool stalled = vm.status.stalled && !incarnation.empty();
+  const auto age = static_cast<int64_t>(ToMillis(stalls_.Age(name, now)));
+  if (!stalls_.Report(name, incarnation, stalled, now)) return;
+  if (stalled) {
+    LogDecision("", "vm_stalled",
+                name + ", runs " + std::to_string(vm.held.size()));
+  } else {
+    LogDecision("", "vm_progresses",
+                name + ", stalled for " + std::to_string(age) + " ms");
+  }
+}
+
+size_t Dispatcher::CountStalled() const {
+  if (stalls_.empty()) return 0;
+  return static_cast<size_t>(
+      std::count_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
+        return entry.second.has_inventory && stalls_.Has(entry.first);
+      }));
+}
+
+void Dispatcher::RefreshStalls(TimePoint now) {
+  if (stalls_.empty() && !stalls_.too_many()) return;
+  const size_t stalled = CountStalled();
+  const auto answering = static_cast<size_t>(std::count_if(
+      vms_.begin(), vms_.end(),
+      [](const auto& entry) { return entry.second.has_inventory; }));
+  if (stalls_.Compare(stalled, answering)) {
+    LogDecision("", "vms_stalled",
+                std::to_string(stalled) + " of " + std::to_string(answering) +
+                    " VMs, work " + (stalls_.too_many() ? "stays" : "moves"));
+  }
+  if (stalls_.too_many()) return;
+  for (auto& [name, vm] : vms_) {
+    if (!vm.has_inventory || !stalls_.Has(name)) continue;
+    CheckStallProbe(name, vm, now);
+    MigrateOffStalled(name, vm, now);
+  }
+  if (now - stalled_moved_at_ < kMoveInterval) return;
+  stalled_moved_at_ = now;
+  MoveLongRunningOffStalled(now);
+}
+
+void Dispatcher::CheckStallProbe(const std::string& name, const Vm& vm,
+                                 TimePoint now) {
+  const auto probe = stalls_.ProbeOn(name);
+  if (!probe) return;
+  const bool failed = stalls_.ProbeHasFailed(name, now);
+  if (Keeps(vm, *probe) && !failed) return;
+  stalls_.EndProbe(name, now);
+  if (failed) {
+    LogDecision(probe->task.workflow, "vm_probed", name + ", no progress");
+  }
+}
+
+bool Dispatcher::IsLongRunning(const RunRef& run) const {
+  const auto job = jobs_.find(run.task.workflow);
+  if (job == jobs_.end()) return false;
+  const auto& steps = job->second->progress.workflow().steps;
+  return run.task.step < steps.size() && steps[run.task.step].long_running;
+}
+
+bool Dispatcher::MayProbeStall(const std::string& name, const Vm& vm,
+                               const WorkflowStep& step, TimePoint now) const {
+  if (step.gang || step.long_running || !stalls_.ProbeIsDue(name, now)) {
+    return false;
+  }
+  return std::all_of(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
+    return IsLongRunning(entry.first);
+  });
+}
+
+// One member of a gang holds up all others; when it is stopped, the runners end
+// these too.
+void Dispatcher::MigrateOffStalled(const std::string& name, Vm& vm,
+                                   TimePoint now) {
+  const auto probe = stalls_.ProbeOn(name);
+  for (const auto& [run, held] : vm.held) {
+    if (vm.stops.Has(run) || IsLongRunning(run)) continue;
+    if (probe && run == *probe) continue;
+    Job* job = Find(run.task.workflow);
+    if (job == nullptr || !MayStart(*job)) continue;
+    MigrateRun(name, vm, *job, run, "no progress there", now);
+  }
+}
+
+size_t Dispatcher::TasksAway(const Job& job, const TaskRef& ref,
+                             TimePoint now) const {
+  const auto& tasks = job.progress.TasksOf(ref.round, ref.step);
+  size_t away = 0;
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    const WorkflowProgress::Task& task = tasks[i];
+    const auto vm = vms_.find(task.vm);
+    const RunRef run{{ref.workflow, ref.round, ref.step, i}, task.run};
+    const bool runs = task.phase == WorkflowProgress::Phase::kHeld &&
+                      vm != vms_.end() && Keeps(vm->second, run);
+    const bool starts_up =
+        task.last_run_ended_at && !stalls_.Avoids(task.vm) &&
+        now - task.held_since < dispatch_internal::kStartUpTime;
+    if (!runs || starts_up) ++away;
+  }
+  return away;
+}
+
+bool Dispatcher::ReserveMove(Job& job, const TaskRef& ref, TimePoint now,
+                             std::vector<Reservation>& reserved) {
+  const WorkflowStep& step = job.progress.workflow().steps[ref.step];
+  std::string name;
+  Vm* vm = ChooseVm(job, step, {ref.round, ref.step}, "", now, &name);
+  if (vm == nullptr) return false;
+  const RunRef run{ref, NextRun(job.progress.At(ref))};
+  Hold(*vm, run, job, step);
+  reserved.emplace_back(name, run);
+  return true;
+}
+
+void Dispatcher::ReserveForAway(TimePoint now,
+                                std::vector<Reservation>& reserved) {
+  for (const auto& [id, job] : jobs_) {
+    if (!MayStart(*job)) continue;
+    const Workflow& workflow = job->progress.workflow();
+    for (uint32_t number = 0; number < workflow.steps.size(); ++number) {
+      const WorkflowStep& step = workflow.steps[number];
+      if (!step.long_running || step.gang) continue;
+      const auto& tasks = job->progress.TasksOf(0, number);
+      for (uint32_t i = 0; i < tasks.size(); ++i) {
+        const TaskRef ref{id, 0, number, i};
+        const auto vm = vms_.find(tasks[i].vm);
+        const bool stopped =
+            vm != vms_.end() && vm->second.stops.Has(RunRef{ref, tasks[i].run});
+        const bool waits = tasks[i].phase == WorkflowProgress::Phase::kWaiting;
+        if (!stopped && !waits) continue;
+        if (!ReserveMove(*job, ref, now, reserved)) break;
+      }
+    }
+  }
+}
+
+// Room on other VMs is given to the tasks that are away before any other task
+// is stopped, so that no two tasks are promised the same room.
+void Dispatcher::MoveLongRunningOffStalled(TimePoint now) {
+  std::vector<Reservation> stalled;
+  for (const auto& [name, vm] : vms_) {
+    if (!vm.has_inventory || !stalls_.Avoids(name)) continue;
+    for (const auto& [run, held] : vm.held) {
+      const Job* job = Find(run.task.workflow);
+      if (job == nullptr || !MayStart(*job) || vm.stops.Has(run)) continue;
+      // A gang that lasts would lose all its members at once.
+      const WorkflowStep& step = job->progress.workflow().steps[run.task.step];
+      if (step.long_running && !step.gang) stalled.emplace_back(name, run);
+    }
+  }
+  if (stalled.empty()) return;
+  no_room_.clear();
+  std::vector<Reservation> reserved;
+  ReserveForAway(now, reserved);
+  for (const auto& [name, run] : stalled) {
+    Job& job = *Find(run.task.workflow);
+    const WorkflowStep& step = job.progress.workflow().steps[run.task.step];
+    const size_t limit = std::max<size_t>(1, step.max_unavailable);
+    if (TasksAway(job, run.task, now) >= limit) continue;
+    if (!ReserveMove(job, run.task, now, reserved)) continue;
+    MigrateRun(name, vms_[name], job, run, "no progress there", now);
+  }
+  for (const auto& [name, run] : reserved) Release(vms_[name], run);
+}
+
+}  // namespace beamhill
--- /dev/null
+++ b/beamhill/dispatch/dispatch_stalls_test.cc
@@ -0,0 +1,358 @@
+// Tests how the Dispatcher treats VMs whose runners answer calls while their
+// tasks make no progress.
+#include <set>
+
+#include "beamhill/dispatch/dispatcher_test_base.h"
+
+namespace beamhill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::Each;
+using testing::IsEmpty;
+using testing::Key;
+using testing::Not;
+using testing::Pair;
+using testing::SizeIs;
+
+class DispatcherStallsTest : public DispatcherTest {
+ protected:
+  // Connects vm-1, vm-2 and so on, of 8 cores each.
+  void ConnectVms(int count) {
+    if (!dispatcher_) TakeOwnership({});
+    for (int i = 1; i <= count; ++i) {
+      vms_.push_back("vm-" + std::to_string(i));
+      ConnectVm(vms_.back());
+    }
+  }
+
+  void SetStalled(const std::string& vm, bool stalled) {
+    stalled_[vm] = stalled;
+    dispatcher_->OnStatus(vm, StatusOf(vm), now_);
+  }
+
+  static Workflow LongRunningWorkflow(const std::string& id, uint32_t tasks) {
+    Workflow workflow = SingleStepWorkflow(id, tasks, 2);
+    workflow.steps[0].long_running = true;
+    workflow.steps[0].image = "s";
+    workflow.steps[0].tail_target = milliseconds(20);
+    return workflow;
+  }
+
+  // Adds the workflow and returns the starts of the next tick.
+  std::vector<std::pair<std::string, RunRef>> Start(const Workflow& workflow) {
+    dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
+    return Tick().starts;
+  }
+
+  // Advances the time and returns what was sent.
+  Sent Advance(Duration time) {
+    AdvanceTime(time, vms_);
+    return TakeSent();
+  }
+
+  void ReceiveStopped(const std::string& vm, const RunRef& run) {
+    const RunEnd end{++ends_[vm], run, RunEndKind::kStopped, "half"};
+    dispatcher_->OnReports(vm, {2, StatusOf(vm).incarnation, {end}, {}, {}},
+                           now_);
+  }
+
+  // Brings vm-1, with no other run, to the point where its probe has started;
+  // returns the probe.
+  RunRef StartProbeOnVm1() {
+    SetStalled("vm-1", true);
+    EXPECT_THAT(Start(SingleStepWorkflow("a", 20, 2)),
+                Each(Key(Not(std::string("vm-1")))));
+    EXPECT_THAT(Advance(milliseconds(750)).starts, IsEmpty());
+    const auto starts = Advance(milliseconds(250)).starts;
+    EXPECT_THAT(starts, SizeIs(1));
+    EXPECT_EQ(starts.at(0).first, "vm-1");
+    return starts.at(0).second;
+  }
+
+  std::vector<std::string> vms_;
+  std::map<std::string, uint64_t> ends_;
+};
+
+TEST_F(DispatcherStallsTest, RunsStartElsewhereOnlyAfterTheirReportedEnd) {
+  ConnectVms(4);
+  Workflow fill = SingleStepWorkflow("f", 4, 2);
+  fill.steps[0].best_effort = true;
+  fill.steps[0].saves_progress = true;
+  fill.steps[0].image = "f";
+  auto starts = Start(fill);
+  for (const auto& start : Start(SingleStepWorkflow("q", 3, 2))) {
+    starts.push_back(start);
+  }
+  const std::string stalled = starts.back().first;
+  std::set<RunRef> expected;
+  for (const auto& [vm, run] : starts) {
+    if (vm == stalled) expected.insert(run);
+  }
+  ASSERT_THAT(expected, SizeIs(testing::Ge(4)));  // Of both kinds.
+  SetStalled(stalled, true);
+  const Sent sent = Advance(milliseconds(500));
+  EXPECT_THAT(sent.starts, IsEmpty());
+  std::set<RunRef> stopped;
+  for (const auto& [vm, run] : sent.stops) {
+    EXPECT_EQ(vm, stalled);
+    stopped.insert(run);
+  }
+  EXPECT_EQ(stopped, expected);
+  for (const RunRef& run : stopped) ReceiveStopped(stalled, run);
+  dispatcher_->Tick(now_, kUnixNow);
+  size_t started = 0;
+  for (const VmMessage& out : dispatcher_->TakeMessages()) {
+    const auto* order = std::get_if<StartRuns>(&out.message);
+    if (order == nullptr) continue;
+    EXPECT_NE(out.vm, stalled);
+    for (const StartRun& run : order->runs) {
+      EXPECT_EQ(run.checkpoint, order->workflow == "f" ? "half" : "");
+      ++started;
+    }
+  }
+  EXPECT_EQ(started, expected.size());
+  EXPECT_EQ(decisions_["vm_stalled"], 1);
+}
+
+// The other members of a gang end with the stopped one. Stops of a workflow
+// that is over exist already, and without full authority nothing moves.
+TEST_F(DispatcherStallsTest, OnlyWhatMayMoveIsStopped) {
+  ConnectVms(4);
+  Workflow gang = SingleStepWorkflow("g", 2, 2);
+  gang.steps[0].gang = true;
+  gang.steps[0].max_per_vm = 1;
+  const auto members = Start(gang);
+  ASSERT_THAT(members, SizeIs(2));
+  dispatcher_->SetAuthority(Authority::kClosing, now_);
+  SetStalled(members[0].first, true);
+  EXPECT_THAT(Advance(milliseconds(500)).stops, IsEmpty());
+  dispatcher_->SetAuthority(Authority::kFull, now_);
+  EXPECT_THAT(Tick().stops, testing::ElementsAre(members[0]));
+  dispatcher_->Cancel("g", now_);
+  EXPECT_EQ(Tick().stops_with_repeats, 1U);  // Of the other member.
+}
+
+TEST_F(DispatcherStallsTest, LongRunningTasksMoveAsTheirStepAllows) {
+  for (const uint32_t max_unavailable : {0U, 2U}) {
+    dispatcher_.reset();
+    vms_.clear();
+    stalled_.clear();
+    ends_.clear();
+    ConnectVms(4);
+    Workflow serving = LongRunningWorkflow("s", 4);
+    serving.steps[0].max_unavailable = max_unavailable;
+    const auto starts = Start(serving);
+    ASSERT_THAT(starts, SizeIs(4));
+    const std::string stalled = starts[0].first;
+    ASSERT_THAT(starts, Each(Key(stalled)));
+    SetStalled(stalled, true);
+    const size_t at_once = std::max<size_t>(1, max_unavailable);
+    const auto stops = Advance(milliseconds(500)).stops;
+    ASSERT_THAT(stops, SizeIs(at_once));
+    for (const auto& [vm, run] : stops) ReceiveStopped(vm, run);
+    const Sent after = Advance(seconds(1));
+    EXPECT_THAT(after.starts, SizeIs(at_once));
+    EXPECT_THAT(after.starts, Each(Key(Not(stalled))));
+    EXPECT_THAT(after.stops, IsEmpty());  // The moved tasks start up.
+    EXPECT_THAT(Advance(seconds(3)).stops, SizeIs(at_once));
+  }
+}
+
+// Two steps must not be promised the same room, and a task must not be stopped
+// where it has none.
+TEST_F(DispatcherStallsTest, LongRunningTasksStayWithoutRoomElsewhere) {
+  ConnectVms(3);
+  std::vector<std::pair<std::string, RunRef>> starts;
+  for (int i = 0; i < 11; ++i) {
+    for (const auto& start :
+         Start(LongRunningWorkflow("s" + std::to_string(i), 1))) {
+      starts.push_back(start);
+    }
+  }
+  ASSERT_THAT(starts, SizeIs(11));  // Room for one more task.
+  const std::string stalled = starts[0].first;
+  SetStalled(stalled, true);
+  const auto stops = Advance(seconds(1)).stops;
+  ASSERT_THAT(stops, SizeIs(1));
+  ReceiveStopped(stalled, stops[0].second);
+  Advance(seconds(8));
+  EXPECT_EQ(dispatcher_->counts().moved, 1U);
+}
+
+TEST_F(DispatcherStallsTest, FailedProbesAreMovedAndRepeatedWithGrowingDelay) {
+  ConnectVms(4);
+  RunRef probe = StartProbeOnVm1();
+  for (const int delay : {2000, 4000, 4000}) {
+    EXPECT_THAT(Advance(milliseconds(1250)).stops, IsEmpty());
+    EXPECT_THAT(Advance(milliseconds(250)).stops,
+                testing::ElementsAre(Pair("vm-1", probe)));
+    ReceiveStopped("vm-1", probe);
+    EXPECT_THAT(Advance(milliseconds(delay - 250)).starts, IsEmpty());
+    const auto starts = Advance(milliseconds(250)).starts;
+    ASSERT_THAT(starts, SizeIs(1));
+    EXPECT_EQ(starts[0].first, "vm-1");
+    probe = starts[0].second;
+  }
+}
+
+TEST_F(DispatcherStallsTest, VmIsInUseAgainOnceItsProbeProgresses) {
+  ConnectVms(4);
+  StartProbeOnVm1();
+  Advance(milliseconds(250));
+  SetStalled("vm-1", false);
+  const Sent sent = Tick();
+  EXPECT_THAT(sent.starts, SizeIs(3));
+  EXPECT_THAT(sent.starts, Each(Key("vm-1")));
+  EXPECT_THAT(Advance(seconds(3)).stops, IsEmpty());
+  EXPECT_EQ(decisions_["vm_progresses"], 1);
+  EXPECT_EQ(decisions_["vm_probed"], 1);
+}
+
+// A gang or a long-running task can't be moved away at once if the probe fails.
+TEST_F(DispatcherStallsTest, GangsAndLongRunningTasksAreNoProbes) {
+  ConnectVms(3);
+  SetStalled("vm-1", true);
+  Workflow gang = SingleStepWorkflow("g", 3, 2);
+  gang.steps[0].each.cpu_millis = 8000;
+  gang.steps[0].gang = true;
+  EXPECT_THAT(Start(gang), IsEmpty());
+  EXPECT_THAT(Start(LongRunningWorkflow("s", 9)), SizeIs(8));
+  EXPECT_THAT(Advance(seconds(4)).starts, IsEmpty());
+  // They must not keep other steps from finding the VM.
+  EXPECT_THAT(Start(SingleStepWorkflow("a", 9, 2)), SizeIs(1));
+}
+
+// Guards against a probe beside runs that are still being stopped.
+TEST_F(DispatcherStallsTest, ProbeWaitsUntilOnlyLongRunningTasksAreLeft) {
+  ConnectVms(4);
+  Start(LongRunningWorkflow("s", 1));
+  const auto starts = Start(SingleStepWorkflow("a", 40, 2));
+  ASSERT_THAT(starts, SizeIs(15));
+  SetStalled("vm-1", true);
+  const auto stops = Advance(seconds(3)).stops;
+  ASSERT_THAT(stops, Not(IsEmpty()));
+  for (size_t i = 1; i < stops.size(); ++i) {
+    ReceiveStopped("vm-1", stops[i].second);
+  }
+  EXPECT_THAT(Tick().starts, IsEmpty());
+  ReceiveStopped("vm-1", stops[0].second);
+  EXPECT_THAT(Tick().starts, SizeIs(1));
+}
+
+TEST_F(DispatcherStallsTest, NewOwnerLearnsOfStallsFromInventories) {
+  stalled_["vm-1"] = true;
+  TakeOwnership({"vm-1"});
+  Workflow workflow = SingleStepWorkflow("a", 1, 1);
+  dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
+  ASSERT_TRUE(CommitProgress());
+  vms_ = {"vm-1", "vm-2", "vm-3"};
+  ConnectVm("vm-1", {SingleStepRun("a", 0, 1)});
+  ConnectVm("vm-2");
+  ConnectVm("vm-3");
+  EXPECT_THAT(Tick().stops,
+              testing::ElementsAre(Pair("vm-1", SingleStepRun("a", 0, 1))));
+}
+
+TEST_F(DispatcherStallsTest, WithTooManyStalledAllStayInUse) {
+  ConnectVms(3);
+  ASSERT_THAT(Start(SingleStepWorkflow("a", 6, 2)), SizeIs(6));
+  for (const char* vm : {"vm-1", "vm-2", "vm-3"}) SetStalled(vm, true);
+  EXPECT_THAT(Advance(seconds(4)).stops, IsEmpty());
+  EXPECT_THAT(Start(SingleStepWorkflow("b", 9, 2)), SizeIs(6));
+  EXPECT_EQ(decisions_["vms_stalled"], 1);
+  SetStalled("vm-1", false);
+  SetStalled("vm-2", false);
+  EXPECT_THAT(Tick().stops, Each(Key("vm-3")));
+  EXPECT_EQ(decisions_["vms_stalled"], 2);
+}
+
+// The status may change while there is no link, or with the runner.
+TEST_F(DispatcherStallsTest, InventoryReplacesWhatWasKnown) {
+  ConnectVms(4);
+  SetStalled("vm-1", true);
+  SetStalled("vm-1", true);
+  EXPECT_EQ(dispatcher_->Summary(now_).stalled_vms, 1U);
+  EXPECT_THAT(dispatcher_->Dump(now_), testing::HasSubstr("stalled_ms"));
+  dispatcher_->OnLinkDown("vm-1");
+  EXPECT_EQ(dispatcher_->Summary(now_).stalled_vms, 0U);
+  stalled_["vm-1"] = false;
+  ConnectVm("vm-1");
+  EXPECT_THAT(Start(SingleStepWorkflow("a", 16, 2)), SizeIs(16));
+  dispatcher_->Cancel("a", now_);
+  SetStalled("vm-2", true);
+  stalled_["vm-2"] = false;
+  LoseRunner("vm-2", {});
+  EXPECT_THAT(Start(SingleStepWorkflow("b", 16, 2)),
+              testing::Contains(Key("vm-2")));
+  EXPECT_THAT(dispatcher_->Dump(now_), Not(testing::HasSubstr("stalled_ms")));
+}
+
+// Tails of a stalled VM say nothing about interference.
+TEST_F(DispatcherStallsTest, NothingIsLearnedFromAStalledVm) {
+  ConnectVms(1);  // Too many are stalled; that makes no difference here.
+  const auto learn = [&] {
+    for (int i = 0; i < 50; ++i) {
+      dispatcher_->OnInterference(
+          "vm-1", {2, {{"s", seconds(30)}}, {{"f", i % 5 * 1000, 100}}});
+    }
+    Advance(seconds(1));
+    return dispatcher_->LearnedInterference().images;
+  };
+  SetStalled("vm-1", true);
+  EXPECT_THAT(learn(), IsEmpty());
+  SetStalled("vm-1", false);
+  EXPECT_THAT(learn(), SizeIs(1));
+}
+
+// A task that may crash its runner would hide whether the VM progresses.
+TEST_F(DispatcherStallsTest, NoSuspectIsTriedOnAStalledVm) {
+  ConnectVms(3);
+  Workflow workflow = SingleStepWorkflow("a", 1, 2);
+  const auto starts = Start(workflow);
+  ASSERT_THAT(starts, SizeIs(1));
+  LoseRunner(starts[0].first, {starts[0].second});
+  vms_.erase(std::remove(vms_.begin(), vms_.end(), starts[0].first),
+             vms_.end());
+  dispatcher_->OnLinkDown(starts[0].first);
+  const std::string stalled = vms_[0];
+  dispatcher_->OnLinkUp("vm-4");  // So that no more than a third are stalled.
+  ReceiveInventory("vm-4");
+  SetStalled(stalled, true);
+  Advance(milliseconds(1250));  // A probe is due; vm-4's lease continues.
+  dispatcher_->OnLinkDown(vms_[1]);
+  dispatcher_->OnLinkDown("vm-4");
+  EXPECT_THAT(Advance(milliseconds(500)).starts,
+              Not(testing::Contains(Key(stalled))));
+}
+
+// A false detection on one VM after the other, at any time, must not take more
+// of a step away than allowed. Every run here is stopped within 250 ms.
+TEST_F(DispatcherStallsTest, FalseDetectionsCostEachStepOneTaskAtATime) {
+  ConnectVms(6);
+  Workflow serving = LongRunningWorkflow("s", 12);
+  serving.steps[0].max_per_vm = 3;
+  std::map<RunRef, std::string> running;
+  for (const auto& [vm, run] : Start(serving)) running[run] = vm;
+  ASSERT_THAT(running, SizeIs(12));
+  size_t moves = 0;
+  for (int i = 0; i < 120; ++i) {
+    if (i % 10 == 0) {
+      SetStalled(vms_[i / 10 % 6], true);
+      SetStalled(vms_[(i / 10 + 5) % 6], false);
+    }
+    const Sent sent = Advance(milliseconds(250));
+    for (const auto& [vm, run] : sent.starts) running[run] = vm;
+    for (const auto& [vm, run] : sent.stops) {
+      running.erase(run);
+      ReceiveStopped(vm, run);
+      ++moves;
+    }
+    EXPECT_GE(running.size(), 11U);
+  }
+  EXPECT_GE(moves, 5U);
+}
+
+}  // namespace
+}  // namespace beamhill
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -61,6 +61,7 @@
     if (!job->progress.over()) ++summary.open_workflows;
   }
   summary.suspects = suspects_.size();
+  summary.stalled_vms = CountStalled();
   summary.given_up = counts_.given_up;
   return summary;
 }
@@ -93,12 +94,18 @@
   for (const std::string& hall : evacuations_.halls) {
     out << "evacuated hall " << hall << "\n";
   }
+  if (stalls_.too_many()) out << "too many stalled vms, work stays there\n";
   for (const auto& [name, vm] : vms_) {
     out << "vm " << name << " life " << vm.status.incarnation << " answered "
         << vm.has_inventory << " held " << vm.held.size() << " stops "
         << vm.stops.size() << " used " << vm.used.cpu_millis << "/"
         << vm.status.capacity.cpu_millis << " filling " << vm.best_effort_cpu
-        << " lease_ms " << ToMillis(vm.lease_bound - now) << "\n";
+        << " lease_ms " << ToMillis(vm.lease_bound - now);
+    if (stalls_.Has(name)) {
+      out << " stalled_ms " << ToMillis(stalls_.Age(name, now)) << " probed "
+          << stalls_.ProbeOn(name).has_value();
+    }
+    out << "\n";
   }
   for (const TaskRef& task : suspects_) {
     const auto job = jobs_.find(task.workflow);
--- a/beamhill/dispatch/dispatch_types.h
+++ b/beamhill/dispatch/dispatch_types.h
@@ -67,6 +67,7 @@
   size_t suspects = 0;     // Tasks suspected of crashing their runners.
   // Workflows that failed under this owner because a task crashed its runners.
   uint64_t given_up = 0;
+  size_t stalled_vms = 0;  // VMs that answer, but whose tasks don't progress.
 };
 
 // A finished workflow of which VMs still hold runs.
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -239,6 +239,7 @@
   const bool begins_to_drain = status.draining && !state.status.draining;
   state.status = status;
   UpdateWarmUp(state, now);
+  UpdateStall(vm, state, now);
   if (begins_to_drain) MigrateOffDraining(vm, state, now);
 }
 
@@ -292,6 +293,7 @@
   ExpireLeases(now);
   if (authority_ == Authority::kFull) {
     RefreshIdle(now);
+    RefreshStalls(now);
     RefreshBestEffortRanks(now, unix_now);
     MigrateStarved(now);
     RefreshLayout(now);
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -44,6 +44,7 @@
 #include "beamhill/dispatch/pace_policy_selector.h"
 #include "beamhill/dispatch/run_log.h"
 #include "beamhill/dispatch/run_time_estimator.h"
+#include "beamhill/dispatch/stalled_vms.h"
 #include "beamhill/placement/pairwise_interference.h"
 #include "beamhill/placement/serving_layout.h"
 #include "beamhill/placement/worker_health.h"
@@ -324,6 +325,20 @@
   // themselves.
   void EvacuateHalls(TimePoint now);
 
+  // In dispatch_stalls.cc.
+  void UpdateStall(const std::string& name, const Vm& vm, TimePoint now);
+  size_t CountStalled() const;  // Of the VMs with an inventory.
+  void RefreshStalls(TimePoint now);
+  void CheckStallProbe(const std::string& name, const Vm& vm, TimePoint now);
+  bool IsLongRunning(const RunRef& run) const;
+  // Whether a run of the step may start on the stalled VM as its probe.
+  bool MayProbeStall(const std::string& name, const Vm& vm,
+                     const WorkflowStep& step, TimePoint now) const;
+  void MigrateOffStalled(const std::string& name, Vm& vm, TimePoint now);
+  // Long-running tasks of the step that wait, are being stopped or start up.
+  size_t TasksAway(const Job& job, const TaskRef& ref, TimePoint now) const;
+  void MoveLongRunningOffStalled(TimePoint now);
+
   // In dispatch_long_running.cc.
   void RefreshLongRunning(TimePoint now);
   // Ends the quarantine of VMs on which a long-running task has kept running.
@@ -386,6 +401,10 @@
   void StartGang(Job& job, const WorkflowProgress::OpenStep& open,
                  TimePoint now);
   using Reservation = std::pair<std::string, RunRef>;  // By VM.
+  // Hold room where a task, or each long-running task that is away, may start.
+  bool ReserveMove(Job& job, const TaskRef& ref, TimePoint now,
+                   std::vector<Reservation>& reserved);
+  void ReserveForAway(TimePoint now, std::vector<Reservation>& reserved);
   // Holds room for all members of a gang, or for none. With `rack`, uses only
   // VMs in that rack.
   std::vector<Reservation> ReserveGang(Job& job,
@@ -447,6 +466,8 @@
   std::set<TaskRef> suspects_;
   TimePoint suspects_cleared_at_{};
   WorkerHealth health_;
+  StalledVms stalls_;
+  TimePoint stalled_moved_at_{};
   RunTimeEstimator run_times_;
   PacePolicySelector best_effort_load_;
   PairwiseInterference interference_;
--- a/beamhill/dispatch/dispatcher_test_base.h
+++ b/beamhill/dispatch/dispatcher_test_base.h
@@ -57,7 +57,11 @@
     DispatcherOptions options;
     options.epoch = 2;
     options.inherited_vms = std::move(inherited);
-    dispatcher_ = Dispatcher::Create(options, nullptr, now_);
+    dispatcher_ = Dispatcher::Create(
+        options,
+        [this](const std::string&, const std::string& event,
+               const std::string&) { ++decisions_[event]; },
+        now_);
   }
 
   VmStatus StatusOf(const std::string& vm) {
@@ -70,6 +74,7 @@
     status.cold = cold_for_[vm];
     status.labels = labels_[vm];
     status.capacity = kVmCapacity;
+    status.stalled = stalled_[vm];
     return status;
   }
 
@@ -188,6 +193,8 @@
   std::map<std::string, std::string> halls_;
   std::map<std::string, Duration> cold_for_;
   std::map<std::string, std::vector<std::string>> labels_;
+  std::map<std::string, bool> stalled_;
+  std::map<std::string, int> decisions_;  // Log lines, by event.
   std::unique_ptr<Dispatcher> dispatcher_;
 };
 
--- /dev/null
+++ b/beamhill/dispatch/stalled_vms.cc
@@ -0,0 +1,79 @@
+#include "beamhill/dispatch/stalled_vms.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace beamhill {
+namespace {
+
+constexpr Duration kFirstProbeDelay = std::chrono::milliseconds(1000);
+constexpr Duration kMaxProbeDelay = std::chrono::milliseconds(4000);
+// Within this time an executor finds that a run progresses and reports it.
+constexpr Duration kProbeTime = std::chrono::milliseconds(1500);
+// With more than 1/3 of the VMs stalled, the rest could not take their work.
+constexpr size_t kTooManyDivisor = 3;
+
+}  // namespace
+
+bool StalledVms::Report(const std::string& vm, const std::string& incarnation,
+                        bool stalled, TimePoint now) {
+  const auto it = stalls_.find(vm);
+  const bool known = it != stalls_.end();
+  const bool replaced = known && it->second.incarnation != incarnation;
+  if (known == stalled && !replaced) return false;
+  if (known) stalls_.erase(it);
+  if (stalled) {
+    stalls_[vm] = Stall{incarnation, now, kFirstProbeDelay,
+                        now + kFirstProbeDelay, std::nullopt};
+  }
+  return true;
+}
+
+bool StalledVms::Compare(size_t stalled, size_t answering) {
+  const bool too_many = stalled * kTooManyDivisor > answering;
+  const bool changed = too_many != too_many_;
+  too_many_ = too_many;
+  return changed;
+}
+
+Duration StalledVms::Age(const std::string& vm, TimePoint now) const {
+  const auto it = stalls_.find(vm);
+  return it == stalls_.end() ? Duration(0) : now - it->second.since;
+}
+
+bool StalledVms::ProbeIsDue(const std::string& vm, TimePoint now) const {
+  const auto it = stalls_.find(vm);
+  return it != stalls_.end() && !it->second.probe &&
+         now >= it->second.next_probe_at;
+}
+
+void StalledVms::BeginProbe(const std::string& vm, const RunRef& run,
+                            TimePoint now) {
+  const auto it = stalls_.find(vm);
+  if (it != stalls_.end()) it->second.probe = Probe{run, now};
+}
+
+std::optional<RunRef> StalledVms::ProbeOn(const std::string& vm) const {
+  const auto it = stalls_.find(vm);
+  if (it == stalls_.end() || !it->second.probe) return std::nullopt;
+  return it->second.probe->run;
+}
+
+bool StalledVms::ProbeHasFailed(const std::string& vm, TimePoint now) const {
+  const auto it = stalls_.find(vm);
+  return it != stalls_.end() && it->second.probe &&
+         now - it->second.probe->began >= kProbeTime;
+}
+
+void StalledVms::EndProbe(const std::string& vm, TimePoint now) {
+  const auto it = stalls_.find(vm);
+  if (it == stalls_.end() || !it->second.probe) return;
+  Stall& stall = it->second;
+  if (ProbeHasFailed(vm, now)) {
+    stall.probe_delay = std::min(2 * stall.probe_delay, kMaxProbeDelay);
+  }
+  stall.probe.reset();
+  stall.next_probe_at = now + stall.probe_delay;
+}
+
+}  // namespace beamhill
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -62,6 +62,11 @@
       "beamhill_oldest_stop_seconds",
       "Since when a decided stop is not known to be carried out.",
       [this] { return owner_ ? ToMillis(owner_->OldestStop()) / 1000 : 0.0; });
+  metrics.AddGauge(
+      "beamhill_stalled_vms",
+      "VMs that answer, but whose tasks make no progress.", [this] {
+        return owner_ ? static_cast<double>(owner_->StalledVmCount()) : 0.0;
+      });
   metrics.AddGauge("beamhill_owner", "1 while this process owns the work.",
                    [this] { return owns() ? 1.0 : 0.0; });
   metrics.AddGauge(
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -85,6 +85,8 @@
   // Age of the oldest stop that its VM has not confirmed; zero if there is
   // none.
   Duration OldestStop() const;
+  // VMs that answer, but whose tasks make no progress.
+  size_t StalledVmCount() const;
   // Null until loaded.
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
   std::string Dump() const;
--- a/beamhill/scheduler/work_owner_log.cc
+++ b/beamhill/scheduler/work_owner_log.cc
@@ -29,7 +29,8 @@
        {"oldest_stop_ms", ToMillis(summary.oldest_stop)},
        {"open_workflows", summary.open_workflows},
        {"suspects", summary.suspects},
-       {"given_up", summary.given_up}});
+       {"given_up", summary.given_up},
+       {"stalled_vms", summary.stalled_vms}});
   LogInterferenceChanges();
   LogOrphans();
 }
@@ -72,6 +73,11 @@
   return dispatcher_->Summary(BootClock::now()).oldest_stop;
 }
 
+size_t WorkOwner::StalledVmCount() const {
+  if (!dispatcher_) return 0;
+  return dispatcher_->Summary(BootClock::now()).stalled_vms;
+}
+
 std::string WorkOwner::Dump() const {
   if (!dispatcher_) return "loading\n";
   return dispatcher_->Dump(BootClock::now());
