Dispatcher: tests that a stalled VM is not reserved or moved to

Cause: nothing showed that reservations for long-running tasks and moves of starved runs leave out a stalled VM; one condition lacked its braces.

--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -109,8 +109,9 @@
   const auto& tasks = job.progress.TasksOf(ref.round, ref.step);
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     const bool held = tasks[i].phase == WorkflowProgress::Phase::kHeld;
-    if (!held || now - tasks[i].held_since < dispatch_internal::kStartUpTime)
+    if (!held || now - tasks[i].held_since < dispatch_internal::kStartUpTime) {
       return false;
+    }
     const auto vm = vms_.find(tasks[i].vm);
     if (vm == vms_.end()) return false;
     const RunRef run{{ref.workflow, ref.round, ref.step, i}, tasks[i].run};
--- a/beamhill/dispatch/dispatch_stalls_test.cc
+++ b/beamhill/dispatch/dispatch_stalls_test.cc
@@ -327,6 +327,44 @@
               Not(testing::Contains(Key(stalled))));
 }
 
+// Capacity of a stalled VM would be reserved in vain.
+TEST_F(DispatcherStallsTest, NoCapacityIsReservedOnAStalledVm) {
+  ConnectVms(3);
+  SetStalled("vm-1", true);
+  const auto running = Start(SingleStepWorkflow("a", 40, 2));
+  ASSERT_THAT(running, SizeIs(8));
+  Workflow serving = LongRunningWorkflow("s", 1);
+  serving.steps[0].each.cpu_millis = 8000;
+  ASSERT_THAT(Start(serving), IsEmpty());
+  Advance(seconds(2));
+  std::map<std::string, RunRef> one_of;  // By VM.
+  for (const auto& [vm, run] : running) one_of[vm] = run;
+  ASSERT_THAT(one_of, SizeIs(2));
+  for (const auto& [vm, run] : one_of) ReceiveStopped(vm, run);
+  EXPECT_THAT(Tick().starts, SizeIs(1));  // The other VM is kept for "s".
+}
+
+TEST_F(DispatcherStallsTest, NoStarvedRunIsMovedToAStalledVm) {
+  labels_["vm-2"] = {"full"};
+  ConnectVms(3);
+  Workflow fill = SingleStepWorkflow("f", 1, 2);
+  fill.steps[0].best_effort = true;
+  fill.steps[0].saves_progress = true;
+  fill.steps[0].image = "f";
+  const auto starts = Start(fill);
+  ASSERT_THAT(starts, testing::ElementsAre(Key("vm-1")));
+  Workflow other = SingleStepWorkflow("a", 4, 2);
+  other.steps[0].required_label = "full";
+  ASSERT_THAT(Start(other), SizeIs(4));
+  SetStalled("vm-3", true);
+  for (int i = 0; i < 8; ++i) {
+    dispatcher_->OnInterference("vm-1", {2, {}, {{"f", 0, 0}}});
+    EXPECT_THAT(Advance(milliseconds(250)).stops, IsEmpty());
+  }
+  SetStalled("vm-3", false);
+  EXPECT_THAT(Advance(milliseconds(500)).stops, SizeIs(1));
+}
+
 // A false detection on one VM after the other, at any time, must not take more
 // of a step away than allowed. Every run here is stopped within 250 ms.
 TEST_F(DispatcherStallsTest, FalseDetectionsCostEachStepOneTaskAtATime) {
