--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -75,10 +75,6 @@
   if (on_decision_) on_decision_(workflow, event, detail);
 }
 
-void Dispatcher::MarkReconciled(const std::string& vm) {
-  unreconciled_.erase(vm);
-}
-
 bool Dispatcher::Knows(const std::string& workflow) const {
   return jobs_.count(workflow) > 0;
 }
@@ -243,6 +239,7 @@
   const bool begins_to_drain = status.draining && !state.status.draining;
   state.status = status;
   UpdateWarmUp(state, now);
+  UpdateStall(vm, state, now);
   if (begins_to_drain) MigrateOffDraining(vm, state, now);
 }
 
@@ -296,6 +293,7 @@
   ExpireLeases(now);
   if (authority_ == Authority::kFull) {
     RefreshIdle(now);
+    RefreshStalls(now);
     RefreshBestEffortRanks(now, unix_now);
     MigrateStarved(now);
     RefreshLayout(now);
