Executor: detect runners whose tasks make no progress

Cause: a runner may answer all calls and renew its registration while none of its tasks progresses. Nothing told the owner, and the tail latencies of 27 s and more from such a VM were reported as interference. Change: StallDetector, which judges the answers to polls by progress, CPU use and tail latencies; the executor sets VmStatus::stalled by it, sends each change, and reports no interference from a stall or of samples above ten times their target. A renewed registration keeps the state. While runs are listed, polls wait 250 ms at most.

--- a/beamhill/config/config.cc
+++ b/beamhill/config/config.cc
@@ -258,6 +258,28 @@
   return addresses;
 }
 
+std::vector<std::string> Config::TextList(const std::string& key) {
+  std::vector<std::string> texts;
+  const YAML::Node node = impl_->Find(key);
+  std::string all;
+  if (node.IsDefined() && !node.IsNull()) {
+    if (!node.IsSequence()) {
+      AddError(key, "must be a list, such as [first, second]");
+      return texts;
+    }
+    for (const YAML::Node& item : node) {
+      if (!item.IsScalar()) {
+        impl_->AddError(key, item, "must be a list of scalars");
+        continue;
+      }
+      texts.push_back(item.Scalar());
+      all += (all.empty() ? "" : ", ") + item.Scalar();
+    }
+  }
+  impl_->effective[key] = all;
+  return texts;
+}
+
 bool Config::Has(const std::string& key) const {
   return impl_->Find(key).IsDefined();
 }
--- a/beamhill/config/config.h
+++ b/beamhill/config/config.h
@@ -54,6 +54,8 @@
   Address SocketAddress(const std::string& key,
                         std::optional<Address> default_value = std::nullopt);
   std::vector<Address> SocketAddressList(const std::string& key);
+  // Optional: a missing key and one without a value are an empty list.
+  std::vector<std::string> TextList(const std::string& key);
 
   bool Has(const std::string& key) const;
   // Adds an error about a key, for constraints that the caller checks.
--- a/beamhill/config/config_test.cc
+++ b/beamhill/config/config_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 
@@ -52,6 +53,23 @@
   }
 }
 
+// A template that repeats a line for each entry leaves a key without a value if
+// there is none; that must not keep a process from starting.
+TEST(Config, ListOfTextsMayBeMissingOrEmpty) {
+  Result<Config> loaded =
+      Config::Load(WriteFile("none:\nsome:\n  - \"a\"\n  - b\nwrong: a\n"));
+  Config& config = ValueOf(loaded);
+  EXPECT_TRUE(config.TextList("absent").empty());
+  EXPECT_TRUE(config.TextList("none").empty());
+  EXPECT_EQ(config.TextList("some"), (std::vector<std::string>{"a", "b"}));
+  EXPECT_TRUE(config.TextList("wrong").empty());
+  const Status status = config.Finish();
+  ASSERT_FALSE(IsOk(status));
+  const std::string text = ErrorOf(status).message;
+  EXPECT_NE(text.find(":5: wrong: must be a list"), std::string::npos) << text;
+  EXPECT_EQ(std::count(text.begin(), text.end(), '\n'), 1) << text;
+}
+
 TEST(Config, ReportsTheLineOfMalformedYaml) {
   const Result<Config> loaded = Config::Load(WriteFile("a: [1\nb: 2\n"));
   ASSERT_FALSE(IsOk(loaded));
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -21,10 +21,11 @@
 constexpr Duration kPastIncarnationRetention = std::chrono::seconds(30);
 constexpr size_t kMaxPastRecords = 16;
 
+// Compares what registrations tell; `stalled` is not part of it.
 bool SameStatus(const VmStatus& a, const VmStatus& b) {
   return a.incarnation == b.incarnation && a.service == b.service &&
          a.hall == b.hall && a.labels == b.labels && a.capacity == b.capacity &&
-         a.draining == b.draining && a.stalled == b.stalled;
+         a.draining == b.draining;
 }
 
 }  // namespace
@@ -110,6 +111,7 @@
   highest_end_listed_ = 0;
   reported_through_ = 0;
   clock_known_ = false;
+  stall_detector_ = StallDetector();
   pacer_ = Pacer(options_.harm_after);
   pacer_.set_policy(pace_policy_);
 }
@@ -133,6 +135,8 @@
     return;
   }
   const bool new_incarnation = status.incarnation != status_.incarnation;
+  // A registration does not tell whether tasks are stalled.
+  const bool stalled = !new_incarnation && status_.stalled;
   const bool changed = !SameStatus(status, status_);
   if (new_incarnation) {
     RecordPastIncarnation();
@@ -156,6 +160,8 @@
     last_answer_ = hooks_.now();
   }
   status_ = status;
+  status_.stalled = stalled;
+  warm_at_ = hooks_.now() + status.cold;
   // The reading in a delayed registration is old, which only shortens leases.
   if (!clock_known_) NoteClock(clock);
   if (changed) SendToOwner(status_);
@@ -304,14 +310,15 @@
 std::string Executor::Dump() const {
   std::ostringstream out;
   out << "epoch " << epoch_ << " owned " << owned() << " life "
-      << status_.incarnation << " draining " << status_.draining << " lease_ms "
-      << ToMillis(lease_end_ - hooks_.now()) << " orders " << orders_.size()
-      << " starts_waiting " << start_queue_.waiting() << " for_ms "
-      << ToMillis(start_queue_.OldestWait(hooks_.now())) << " stops_waiting "
-      << stop_queue_.waiting() << " oldest_stop_ms " << ToMillis(OldestStop())
-      << " paces_waiting " << pace_queue_.waiting() << " paced "
-      << paced_.size() << " settled " << acknowledged_through_ << " listed "
-      << highest_end_listed_ << "\n";
+      << status_.incarnation << " draining " << status_.draining << " stalled "
+      << (options_.detect_stalls ? std::to_string(status_.stalled) : "unknown")
+      << " lease_ms " << ToMillis(lease_end_ - hooks_.now()) << " orders "
+      << orders_.size() << " starts_waiting " << start_queue_.waiting()
+      << " for_ms " << ToMillis(start_queue_.OldestWait(hooks_.now()))
+      << " stops_waiting " << stop_queue_.waiting() << " oldest_stop_ms "
+      << ToMillis(OldestStop()) << " paces_waiting " << pace_queue_.waiting()
+      << " paced " << paced_.size() << " settled " << acknowledged_through_
+      << " listed " << highest_end_listed_ << "\n";
   return out.str();
 }
 
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -32,6 +32,7 @@
 #include "beamhill/executor/call_queue.h"
 #include "beamhill/executor/incarnation_record.h"
 #include "beamhill/executor/pacer.h"
+#include "beamhill/executor/stall_detector.h"
 #include "beamhill/executor/task_runner.h"
 
 namespace beamhill {
@@ -52,6 +53,9 @@
   // still be running. Afterwards it is polled to find out whether it has
   // exited.
   Duration exit_grace = std::chrono::milliseconds(600);
+  // Whether to detect that the runner's tasks make no progress although it
+  // answers calls. For deployments in which runners can fail in this way.
+  bool detect_stalls = false;
 };
 
 struct ExecutorHooks {
@@ -77,6 +81,7 @@
   uint64_t stops_overdue = 0;  // Stops not completed within kCancelLimit.
   // Stops sent again because the run continued after the runner accepted one.
   uint64_t stops_ineffective = 0;
+  uint64_t stalls = 0;  // Stalls of the runner's tasks.
 };
 
 class Executor {
@@ -248,6 +253,8 @@
   // that the next registration is accepted whichever incarnation it names.
   void NoteMismatch();
   void ReportEnds(const RunnerView& view);
+  // Updates VmStatus::stalled by a poll's answer and sends each change.
+  void UpdateStalled(const RunnerView& view, TimePoint sent_at, TimePoint now);
   void SendInventory(const RunnerView& view);
   void SendEmptyInventory();
   void AddPastIncarnations(VmInventory& inventory) const;
@@ -320,7 +327,11 @@
   std::optional<TimePoint> leaving_since_;
   std::optional<TimePoint> leave_polled_at_;
   bool runner_is_gone_ = false;
-  RunnerClock clock_{};  // Reading of the runner's clock at `clock_at_`.
+  // The runner has warmed up by then, as its last registration told.
+  TimePoint warm_at_{};
+  StallDetector stall_detector_;
+  TimePoint stalled_since_{};  // Valid while `status_.stalled`.
+  RunnerClock clock_{};        // Reading of the runner's clock at `clock_at_`.
   TimePoint clock_at_{};
   bool clock_known_ = false;
   TimePoint last_answer_{};  // Of the current incarnation, to any call.
--- a/beamhill/executor/executor_pacing.cc
+++ b/beamhill/executor/executor_pacing.cc
@@ -218,6 +218,9 @@
   interference_reported_at_ = now;
   std::map<std::string, Duration> tails;
   for (const ServingSample& sample : serving) {
+    // Not caused by best-effort tasks, so the owner must not learn from it.
+    const bool unrelated = status_.stalled || ExceedsInterference(sample);
+    if (options_.detect_stalls && unrelated) continue;
     tails[sample.image] = std::max(tails[sample.image], sample.tail);
   }
   VmInterference report;
--- a/beamhill/executor/executor_polling.cc
+++ b/beamhill/executor/executor_polling.cc
@@ -13,7 +13,8 @@
 using std::chrono::milliseconds;
 
 // How long the runner may delay its answer to a poll until an end occurs: short
-// while pacing needs recent measurements or a stop is to take effect.
+// while pacing or the detection of stalls needs recent measurements or a stop
+// is to take effect.
 constexpr milliseconds kShortPollWait{250};
 constexpr milliseconds kIdlePollWait{1000};
 // While ends are unacknowledged the runner answers every poll at once, so polls
@@ -54,7 +55,8 @@
   const bool stopping = std::any_of(
       orders_.begin(), orders_.end(),
       [](const auto& entry) { return entry.second.phase == Phase::kStopped; });
-  return paced || stopping ? kShortPollWait : kIdlePollWait;
+  const bool detecting = options_.detect_stalls && stall_detector_.has_runs();
+  return paced || stopping || detecting ? kShortPollWait : kIdlePollWait;
 }
 
 bool Executor::PollSoon() {
@@ -113,6 +115,7 @@
   }
   NoteClock(view.reply.clock);
   last_answer_ = now;
+  if (options_.detect_stalls) UpdateStalled(view, sent_at, now);
   for (const RunEnd& end : view.ended) {
     highest_end_listed_ = std::max(highest_end_listed_, end.number);
     paced_.erase(end.run);
@@ -135,6 +138,45 @@
   }
 }
 
+void Executor::UpdateStalled(const RunnerView& view, TimePoint sent_at,
+                             TimePoint now) {
+  StallPoll poll{sent_at, now, now >= warm_at_, {}, &view.ended};
+  poll.rows.reserve(view.running.size());
+  for (const RunningRun& running : view.running) {
+    StallRow& row = poll.rows.emplace_back();
+    row.running = &running;
+    const auto it = paced_.find(running.run);
+    if (it == paced_.end()) continue;
+    const PacedRun& paced = it->second;
+    row.cpu_millis = paced.traits.cpu_millis;
+    if (!paced.traits.best_effort) row.tail_target = paced.traits.tail_target;
+    // An order without an answer may take effect at any time.
+    row.pace_ordered_at = paced.answered ? paced.ordered_at : now;
+    row.paused = paced.percent == 0;
+  }
+  stall_detector_.Observe(poll);
+  if (stall_detector_.stalled() == status_.stalled) return;
+  status_.stalled = stall_detector_.stalled();
+  if (status_.stalled) {
+    ++counts_.stalls;
+    stalled_since_ = now;
+    const bool by_tails =
+        stall_detector_.evidence() == StallDetector::Evidence::kTailLatencies;
+    hooks_.log("runner_stalled", "",
+               status_.incarnation + ", runs " +
+                   std::to_string(view.running.size()) + ": " +
+                   (by_tails ? "tail latencies of all serving tasks"
+                             : "CPU use without progress"));
+  } else {
+    const auto stalled_ms =
+        static_cast<int64_t>(ToMillis(now - stalled_since_));
+    hooks_.log(
+        "runner_progresses", "",
+        status_.incarnation + " after " + std::to_string(stalled_ms) + " ms");
+  }
+  SendToOwner(status_);
+}
+
 void Executor::SendInventory(const RunnerView& view) {
   VmInventory inventory;
   inventory.epoch = epoch_;
--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -94,6 +94,11 @@
   gauge("beamhill_runners_lost_total",
         "Lives of the runner that ended unannounced.",
         &ExecutorCounts::runners_lost);
+  metrics.AddGauge(
+      "beamhill_runner_stalled", "1 while the runner's tasks make no progress.",
+      [executor] { return executor->status().stalled ? 1.0 : 0.0; });
+  gauge("beamhill_runner_stalls_total", "Stalls of the runner's tasks.",
+        &ExecutorCounts::stalls);
 }
 
 Status ExecutorProcess::Listen() {
--- /dev/null
+++ b/beamhill/executor/executor_stalls_test.cc
@@ -0,0 +1,172 @@
+// Tests what an owner learns of a runner whose tasks are stalled.
+#include <algorithm>
+
+#include "beamhill/executor/executor_test_base.h"
+
+namespace beamhill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::Each;
+using testing::Field;
+using testing::IsEmpty;
+using testing::Not;
+using testing::SizeIs;
+
+class ExecutorStallsTest : public ExecutorTest {
+ protected:
+  explicit ExecutorStallsTest(bool detect_stalls = true)
+      : ExecutorTest(Options(detect_stalls)) {}
+
+  static ExecutorOptions Options(bool detect_stalls) {
+    ExecutorOptions options;
+    options.detect_stalls = detect_stalls;
+    return options;
+  }
+
+  // Starts a serving task and a best-effort run beside it.
+  void StartRuns() {
+    Register("incarnation-1");
+    Attach(1);
+    Start(kServing, 1, milliseconds(50));
+    Start(kRun, 1, {}, /*best_effort=*/true);
+    AnswerAll(starts_);
+    ListFor(seconds(1), 20);
+    sent_.clear();
+  }
+  // Answers polls for `time`, in which the best-effort run gains
+  // `percent_per_poll`.
+  void ListFor(Duration time, int64_t tail_ms, int percent_per_poll = 1) {
+    for (const TimePoint end = now_ + time; now_ < end;) {
+      AdvanceTime(milliseconds(200));
+      percent_ += percent_per_poll;
+      AnswerPoll({{kServing, 100, tail_ms}, {kRun, percent_, 1500}});
+      AnswerAll(paces_);
+    }
+  }
+  void Stall() { ListFor(seconds(2), 30000, 0); }
+  std::vector<bool> StalledSent() {
+    std::vector<bool> stalled;
+    for (const auto& status : Sent<VmStatus>()) {
+      stalled.push_back(status.stalled);
+    }
+    return stalled;
+  }
+
+  const RunRef kServing{{"w", 0, 0, 1}, 1};
+  int percent_ = 0;
+};
+
+class ExecutorWithoutStallsTest : public ExecutorStallsTest {
+ protected:
+  ExecutorWithoutStallsTest() : ExecutorStallsTest(false) {}
+};
+
+// The owner places work by this state; each message costs bandwidth.
+TEST_F(ExecutorStallsTest, StatusIsSentOnceOnStallAndOnceOnRecovery) {
+  StartRuns();
+  Stall();
+  EXPECT_EQ(StalledSent(), (std::vector<bool>{true}));
+  EXPECT_THAT(logged_["runner_stalled"], SizeIs(1));
+  ListFor(seconds(2), 20);
+  EXPECT_EQ(StalledSent(), (std::vector<bool>{true, false}));
+  EXPECT_THAT(logged_["runner_progresses"], SizeIs(1));
+  EXPECT_EQ(executor_->counts().stalls, 1);
+}
+
+// Without serving tasks, polls take up to a second unless stalls are detected.
+TEST_F(ExecutorStallsTest, RunsWithoutPaceAreDetectedInTime) {
+  Register("incarnation-1");
+  Attach(1);
+  Start(kRun, 1);
+  AnswerAll(starts_);
+  AnswerPoll({{kRun, 0, 1000}});  // Sent before the run began.
+  EXPECT_EQ(last_poll_.wait, seconds(1));
+  for (int i = 0; i < 12; ++i) {
+    AdvanceTime(milliseconds(200));
+    AnswerPoll({{kRun, std::min(10 * i, 60), 1000}});
+    EXPECT_LE(last_poll_.wait, milliseconds(250));
+  }
+  EXPECT_TRUE(executor_->status().stalled);
+}
+
+// Registrations are renewed every second and don't tell of stalls.
+TEST_F(ExecutorStallsTest, RenewedRegistrationKeepsTheState) {
+  StartRuns();
+  Stall();
+  sent_.clear();
+  Register("incarnation-1");
+  EXPECT_TRUE(executor_->status().stalled);
+  EXPECT_THAT(Sent<VmStatus>(), IsEmpty());
+  executor_->OnMessage(kLink, ::beamhill::Attach{"b", 2});
+  AnswerPoll({{kServing, 100, 30000}});  // The last one for epoch 1.
+  AnswerPoll({{kServing, 100, 30000}});
+  ASSERT_THAT(Sent<VmInventory>(), SizeIs(1));
+  EXPECT_TRUE(Sent<VmInventory>()[0].status.stalled);
+}
+
+TEST_F(ExecutorStallsTest, NewIncarnationIsNotStalled) {
+  StartRuns();
+  Stall();
+  sent_.clear();
+  Register("incarnation-2");
+  EXPECT_EQ(StalledSent(), (std::vector<bool>{false}));
+  AnswerPoll();  // For the earlier incarnation.
+  AnswerPoll();
+  EXPECT_EQ(StalledSent(), (std::vector<bool>{false}));
+}
+
+// All VMs share what the owner learns from the samples.
+TEST_F(ExecutorStallsTest, NoInterferenceIsReportedFromAStall) {
+  StartRuns();
+  Stall();
+  for (int i = 0; i < 6; ++i) {  // One normal sample does not end the stall.
+    ListFor(milliseconds(200), 45, 0);
+    ListFor(milliseconds(200), 30000, 0);
+  }
+  ASSERT_TRUE(executor_->status().stalled);
+  EXPECT_THAT(Sent<VmInterference>(), Not(IsEmpty()));
+  EXPECT_THAT(Sent<VmInterference>(),
+              Each(Field(&VmInterference::serving, IsEmpty())));
+  ListFor(seconds(1), 20);
+  EXPECT_THAT(Sent<VmInterference>().back().serving, SizeIs(1));
+}
+
+TEST_F(ExecutorStallsTest, SampleAboveTenTimesItsTargetIsNotReported) {
+  StartRuns();
+  ListFor(seconds(2), 501);
+  EXPECT_FALSE(executor_->status().stalled);
+  EXPECT_THAT(Sent<VmInterference>(),
+              Each(Field(&VmInterference::serving, IsEmpty())));
+  sent_.clear();
+  ListFor(seconds(2), 499);
+  EXPECT_THAT(Sent<VmInterference>(),
+              Each(Field(&VmInterference::serving, SizeIs(1))));
+}
+
+// A runner that warms up is slow.
+TEST_F(ExecutorStallsTest, ColdRunnerIsNotStalled) {
+  StartRuns();
+  VmStatus status = executor_->status();
+  status.cold = seconds(3);
+  executor_->OnRunnerRegistered(status, RunnerClock(1000));
+  Stall();
+  EXPECT_FALSE(executor_->status().stalled);
+  Stall();
+  EXPECT_TRUE(executor_->status().stalled);
+}
+
+// Other deployments must see no change.
+TEST_F(ExecutorWithoutStallsTest, NothingIsDetected) {
+  StartRuns();
+  Stall();
+  EXPECT_THAT(Sent<VmStatus>(), IsEmpty());
+  EXPECT_THAT(Sent<VmInterference>(),
+              Each(Field(&VmInterference::serving, SizeIs(1))));
+  EXPECT_THAT(logged_["runner_stalled"], IsEmpty());
+  EXPECT_EQ(executor_->counts().stalls, 0);
+}
+
+}  // namespace
+}  // namespace beamhill
--- a/beamhill/executor/executor_test_base.h
+++ b/beamhill/executor/executor_test_base.h
@@ -30,7 +30,7 @@
 
 class ExecutorTest : public testing::Test {
  protected:
-  ExecutorTest() {
+  explicit ExecutorTest(const ExecutorOptions& options = {}) {
     TaskRunner runner;
     runner.start = [this](RunnerStart call, auto done) {
       starts_.push_back({std::move(call), done});
@@ -53,8 +53,7 @@
                        const std::string& detail) {
       logged_[event].push_back(detail);
     };
-    executor_ =
-        std::make_unique<Executor>(ExecutorOptions{}, std::move(runner), hooks);
+    executor_ = std::make_unique<Executor>(options, std::move(runner), hooks);
   }
 
   int last_pace_ = -1;
