--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -402,5 +402,23 @@
   EXPECT_EQ(dispatcher_->StateOf("a"), WorkflowState::kCancelled);
 }
 
+// Operators can't see otherwise why nothing starts after a takeover.
+TEST_F(DispatcherTest, SummaryNamesTheVmsThatHoldBackInheritedWork) {
+  TakeOwnership({"vm-1", "vm-2"});
+  dispatcher_->AddWorkflow(SingleStepWorkflow("old", 1, 1), std::nullopt, now_);
+  dispatcher_->AddWorkflow(SingleStepWorkflow("new", 1, 2), std::nullopt, now_);
+  ConnectVm("vm-1");
+  now_ += seconds(1);
+  DispatchSummary summary = dispatcher_->Summary(now_);
+  EXPECT_EQ(summary.inherited_waiting, 1);
+  EXPECT_THAT(summary.unreconciled_vms, testing::ElementsAre("vm-2"));
+  EXPECT_EQ(summary.inherited_wait_left,
+            DispatcherOptions{}.inherited_bound - seconds(1));
+  ConnectVm("vm-2");
+  summary = dispatcher_->Summary(now_);
+  EXPECT_EQ(summary.inherited_waiting, 0);
+  EXPECT_EQ(summary.inherited_wait_left, Duration(0));
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/executor/vm_registration.cc
+++ b/beamhill/executor/vm_registration.cc
@@ -22,6 +22,8 @@
 // reads the row first.
 constexpr int kMaxRemovalAttempts = 3;
 
+constexpr char kNotRegistered[] = "vm_not_registered";  // Event for the log.
+
 }  // namespace
 
 VmRegistration::VmRegistration(const VmRecord& record, Table table,
@@ -99,7 +101,7 @@
                   return;
                 }
                 if (!IsOk(rows)) {
-                  RetryLater(ErrorOf(rows).message);
+                  RetryLater(kNotRegistered, ErrorOf(rows).message);
                   return;
                 }
                 OnRow(ValueOf(rows).front());
@@ -138,7 +140,7 @@
                 if (withdrawn_) {
                   RemoveRows();
                 } else if (!IsOk(rows)) {
-                  RetryLater(ErrorOf(rows).message);
+                  RetryLater(kNotRegistered, ErrorOf(rows).message);
                 } else if (ValueOf(rows).front().version != 0) {
                   Store(0);
                 } else {
@@ -173,7 +175,7 @@
                         answer.result != CommitResult::kNotApplied) {
                       state_ = RowState::kChanging;
                     }
-                    RetryLater("row not stored");
+                    RetryLater(kNotRegistered, "row not stored");
                     return;
                   }
                   hooks_.log("vm_registered", "row stored");
@@ -224,22 +226,23 @@
       OnAbsent();
       return;
     case CommitResult::kNotApplied:
-      OnStored(version_);
+      OnStored(version_);  // Nothing took effect.
       break;
     case CommitResult::kConflict:
     case CommitResult::kUnknown:
       break;
   }
-  RetryLater("removal not confirmed");
+  RetryLater("vm_not_unregistered", "removal not confirmed");
 }
 
-void VmRegistration::RetryLater(const std::string& error) {
+void VmRegistration::RetryLater(const std::string& event,
+                                const std::string& error) {
   backoff_ = std::clamp(backoff_ * 2, kMinBackoff, kMaxBackoff);
   const Duration delay = std::chrono::duration_cast<Duration>(
       backoff_ * (0.5 + hooks_.random() / 2));
-  hooks_.log("vm_not_registered",
-             error + "; retry in " +
-                 std::to_string(static_cast<int64_t>(ToMillis(delay))) + " ms");
+  hooks_.log(event, error + "; retry in " +
+                        std::to_string(static_cast<int64_t>(ToMillis(delay))) +
+                        " ms");
   retry_at_ = hooks_.now() + delay;
 }
 
--- a/beamhill/executor/vm_registration.h
+++ b/beamhill/executor/vm_registration.h
@@ -97,7 +97,8 @@
   // Removes both rows of a VM whose runner is gone.
   void RemoveUnusedRow();
   void OnRemoved(const CommitAnswer& answer);
-  void RetryLater(const std::string& error);
+  // Logs the event and delays the next call.
+  void RetryLater(const std::string& event, const std::string& error);
   void RemoveRows();
   // Reads the row and removes that version of it if it belongs to this process.
   void RemoveRow(const std::string& key, int attempts_left,
--- a/beamhill/replay/fleet_restart_test.cc
+++ b/beamhill/replay/fleet_restart_test.cc
@@ -261,10 +261,11 @@
     dispatcher_->Tick(time_.now(), UnixMillis(1'000'000));
     if (!keeper_->committing() && dispatcher_->TakeCommit(time_.now())) {
       keeper_->Commit({}, [this](bool committed) {
-        if (committed)
+        if (committed) {
           dispatcher_->OnCommitted();
-        else
+        } else {
           dispatcher_->OnCommitFailed();
+        }
       });
     }
     for (const VmMessage& out : dispatcher_->TakeMessages()) {
--- a/beamhill/scheduler/scheduler_test.cc
+++ b/beamhill/scheduler/scheduler_test.cc
@@ -89,16 +89,34 @@
   Duration InheritedWait() {
     evacuations_.known = true;  // Otherwise nothing is loaded.
     const VmRecord vm{"vm", "127.0.0.1:1"};
-    table_.model().Commit({{}, {{"executors/vm", 0, EncodeRecord(vm)}}});
+    Workflow workflow;
+    workflow.id = "w";
+    workflow.offered_to_epoch = 1;
+    workflow.steps.resize(1);
+    workflow.steps[0].tasks = 1;
+    table_.model().Commit({{},
+                           {{"executors/vm", 0, EncodeRecord(vm)},
+                            {"workflows/w", 0, EncodeRecord(workflow)}}});
     StartScheduler();
     EXPECT_TRUE(RunUntil(seconds(8), [&] { return scheduler_->owns(); }));
     const TimePoint taken = BootClock::now();
+    EXPECT_TRUE(
+        RunUntil(seconds(1), [&] { return InheritedWaiting() == "1"; }));
     EXPECT_TRUE(RunUntil(seconds(8), [&] {
       return scheduler_->Dump().find("unaccounted 0") != std::string::npos;
     }));
+    EXPECT_EQ(InheritedWaiting(), "0");
     return BootClock::now() - taken;
   }
 
+  // The gauge's value, as exported.
+  std::string InheritedWaiting() const {
+    const std::string name = "\nbeamhill_inherited_waiting_workflows ";
+    const std::string text = metrics_.ToPrometheus();
+    const size_t begin = text.find(name) + name.size();
+    return text.substr(begin, text.find('\n', begin) - begin);
+  }
+
   void StartScheduler() {
     SchedulerHooks hooks;
     hooks.table_silence = [this] { return table_silence_; };
