VmRegistration, fleet restart: tests that fail for the planted defect

Cause: two tests passed although the code they guard was changed: a registration passed on while the removal was in flight, and an end of the earlier owner that was not taken as proven.

Change: the first test holds the removal's call back; the second one's bound is the stated one, lease term and 0.5 s, with one confirmation of the row.

--- a/beamhill/executor/vm_registration_test.cc
+++ b/beamhill/executor/vm_registration_test.cc
@@ -441,17 +441,28 @@
 
 // The removal is in flight when the next runner registers.
 TEST_F(VmRegistrationTest, RegistrationDuringARemovalWaitsForTheNewRow) {
-  const auto registration = Make("10.0.0.1:1");
+  Table slow = table_.AsTable();
+  bool hold = false;
+  std::vector<std::function<void()>> held;
+  slow.commit = [&, commit = slow.commit](Transaction transaction,
+                                          CommitDone done) {
+    if (hold) {
+      held.push_back([=] { commit(transaction, done); });
+    } else {
+      commit(std::move(transaction), std::move(done));
+    }
+  };
+  const auto registration = Make("10.0.0.1:1", slow);
   AdvanceTime(seconds(1), *registration);
   runner_is_gone_ = true;
-  AdvanceTime(milliseconds(9900), *registration);
+  hold = true;
+  AdvanceTime(milliseconds(10'100), *registration);
+  ASSERT_THAT(held, SizeIs(1));
   passed_on_.clear();
-  while (registration->stored()) {  // Until the removal is sent.
-    now_ += milliseconds(100);
-    registration->Tick();
-    if (registration->stored()) table_.Deliver();
-  }
   Register(*registration, "runner/2");
+  EXPECT_THAT(passed_on_, IsEmpty());
+  hold = false;
+  held.front()();
   AdvanceTime(seconds(1), *registration);
   EXPECT_THAT(passed_on_, ElementsAre("runner/2"));
   EXPECT_EQ(AddressIn(kKey), "10.0.0.1:1");
--- a/beamhill/replay/fleet_restart_test.cc
+++ b/beamhill/replay/fleet_restart_test.cc
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -35,6 +36,8 @@
 constexpr Duration kLeaseTerm = seconds(5);
 constexpr Duration kMessageDelayMargin = milliseconds(500);
 constexpr Duration kAuthorityTerm = seconds(8);
+// An owner confirms its row every 0.5 s, and ticks every 50 ms.
+constexpr Duration kConfirmDelay = milliseconds(600);
 
 class FleetRestartTest : public testing::Test {
  protected:
@@ -327,7 +330,7 @@
   EXPECT_EQ(RowsOfVms(), kVms);
   RestartAll();
   EXPECT_EQ(ShareStarted(kLeaseTerm + milliseconds(400)), 0);
-  EXPECT_EQ(ShareStarted(kLeaseTerm + kMessageDelayMargin + seconds(1)), 1);
+  EXPECT_EQ(ShareStarted(kLeaseTerm + kMessageDelayMargin + kConfirmDelay), 1);
 }
 
 }  // namespace
