--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -332,7 +332,10 @@
   TimePoint warm_at_{};
   StallDetector stall_detector_;
   TimePoint stalled_since_{};  // Valid while `status_.stalled`.
-  RunnerClock clock_{};        // Reading of the runner's clock at `clock_at_`.
+  // A poll has found it gone. Without an owner there is none, and the
+  // announcement may be a delayed one of an earlier incarnation.
+  bool departure_verified_ = false;
+  RunnerClock clock_{};  // Reading of the runner's clock at `clock_at_`.
   TimePoint clock_at_{};
   bool clock_known_ = false;
   TimePoint last_answer_{};  // Of the current incarnation, to any call.
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -87,6 +87,8 @@
   Duration OldestStop() const;
   // VMs that answer, but whose tasks make no progress.
   size_t StalledVmCount() const;
+  // Number of workflows that wait until leases of an earlier owner are over.
+  size_t InheritedWaiting() const;
   // Null until loaded.
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
   std::string Dump() const;
@@ -115,6 +117,8 @@
   // Defined in work_owner_log.cc.
   void LogSummary();
   void LogOrphans();
+  // Logs which VMs hold back work of earlier owners, and until when.
+  void LogInheritedWaiting(const DispatchSummary& summary);
   void LogInterferenceChanges();
 
   void Load();
