Tests: concurrent test processes never share a slice of ports

Cause: a test process chose its slice of ports by its process id modulo 50, so two concurrent ones could share a slice. While processes of one are down, their ports look free to the other. In a run of soak beside two other soaks, a scheduler was linked with the owner of another deployment: 11 false violations. It followed epoch 2 while its own deployment had had epoch 1 only, and answered the first submission of all with "already stored".

Change: a process locks its slice (flock) for its life and takes the next one if it is locked.

--- a/beamhill/testing/free_port.h
+++ b/beamhill/testing/free_port.h
@@ -9,10 +9,10 @@
 namespace beamhill {
 
 // Returns a free TCP port of the loopback address that this process has not
-// been given recently. Concurrent test processes use separate port slices,
+// been given recently. Concurrent test processes lock separate port slices,
 // because with ports chosen by the kernel, two deployments that started
 // together shared a port in 28 of 1,000 trials. Ends the process if no port of
-// the slice is free.
+// the slice is free, or if all slices are locked.
 uint16_t FreePort();
 
 }  // namespace beamhill
