VmRegistration: a late removal can't hit a runner that registers before the retry

Cause: after a removal without an answer, a read of the unchanged row made it count as stored again, and so did a refusal of the repeated removal. A runner that registered then, within 0.1 s or while the table was slow, was served at once under the version that the first removal could still remove. The row was never rewritten: tasks ran on a VM without a row, and a new owner would not have waited for it. Change: a row of that version does not count as stored. It is removed again or, once a runner has registered, rewritten before the registration is passed on. Measured: without the change LateRemovalDoesNotHitARowThatIsInUseAgain (now with the registration at ten moments) and RefusedRemovalDoesNotHideAnEarlierLateOne fail, the row is gone under the served runner.

--- a/beamhill/executor/vm_registration.cc
+++ b/beamhill/executor/vm_registration.cc
@@ -123,9 +123,15 @@
     Store(row.version);
     return;
   }
-  // A new version makes the late removal fail.
-  if (row.version == late_removal_version_ && !RemovalDue()) {
-    Store(row.version);
+  // While the late removal can still take effect, the row does not count as
+  // stored. A new version makes the late removal fail.
+  if (row.version == late_removal_version_) {
+    version_ = row.version;
+    if (RemovalDue()) {
+      RemoveUnusedRow();
+    } else {
+      Store(row.version);
+    }
     return;
   }
   if (version_ != row.version) hooks_.log("vm_registered", "row unchanged");
@@ -226,7 +232,8 @@
       OnAbsent();
       return;
     case CommitResult::kNotApplied:
-      OnStored(version_);  // Nothing took effect.
+      // Nothing took effect, but an earlier removal of this version still can.
+      if (version_ != late_removal_version_) OnStored(version_);
       break;
     case CommitResult::kConflict:
     case CommitResult::kUnknown:
--- a/beamhill/executor/vm_registration_test.cc
+++ b/beamhill/executor/vm_registration_test.cc
@@ -19,7 +19,6 @@
 using std::chrono::seconds;
 using testing::ElementsAre;
 using testing::IsEmpty;
-using testing::Not;
 using testing::SizeIs;
 
 constexpr char kKey[] = "executors/vm-1";
@@ -65,18 +64,19 @@
     });
   }
 
-  // Wraps the table so that commits sent while `lose_commits_` is set are kept
-  // in `lost_commits_`, and their outcome stays unknown.
+  // Wraps the table. Commits get an unknown outcome and are kept in
+  // `lost_commits_` while `lose_commits_`, refused while `refuse_commits_`.
   Table WithLostCommits() {
     Table table = table_.AsTable();
     table.commit = [this, commit = table.commit](Transaction transaction,
                                                  const CommitDone& done) {
-      if (!lose_commits_) {
+      if (!lose_commits_ && !refuse_commits_) {
         commit(std::move(transaction), done);
         return;
       }
-      lost_commits_.push_back(std::move(transaction));
-      done({CommitResult::kUnknown, {}});
+      if (lose_commits_) lost_commits_.push_back(std::move(transaction));
+      done({lose_commits_ ? CommitResult::kUnknown : CommitResult::kNotApplied,
+            {}});
     };
     return table;
   }
@@ -89,6 +89,28 @@
     }
   }
 
+  // The runner is gone; the first removal of its row has an unknown outcome.
+  std::unique_ptr<VmRegistration> MakeWithLostRemoval() {
+    auto registration = Make("10.0.0.1:1", WithLostCommits());
+    AdvanceTime(seconds(1), *registration);
+    runner_is_gone_ = true;
+    lose_commits_ = true;
+    AdvanceTime(milliseconds(10'100), *registration);
+    lose_commits_ = false;
+    passed_on_.clear();
+    return registration;
+  }
+
+  // The next runner is served, and the late removal fails.
+  void ExpectServedUnderANewRow(VmRegistration& registration) {
+    AdvanceTime(seconds(1), registration);
+    EXPECT_THAT(passed_on_, ElementsAre("runner/2"));
+    ASSERT_THAT(lost_commits_, SizeIs(1));
+    const Transaction late = std::exchange(lost_commits_, {}).front();
+    EXPECT_EQ(table_.model().Commit(late).result, CommitResult::kConflict);
+    EXPECT_EQ(AddressIn(kKey), "10.0.0.1:1");
+  }
+
   std::string AddressIn(const std::string& key) {
     const auto& rows = table_.model().rows();
     const auto it = rows.find(key);
@@ -104,6 +126,7 @@
   bool runner_is_gone_ = false;
   std::vector<std::string> passed_on_;  // Incarnations.
   bool lose_commits_ = false;
+  bool refuse_commits_ = false;            // Of the table above.
   std::vector<Transaction> lost_commits_;  // Not applied.
 };
 
@@ -421,22 +444,26 @@
 // registered and finds its row unchanged: tasks would run on a VM without a
 // row.
 TEST_F(VmRegistrationTest, LateRemovalDoesNotHitARowThatIsInUseAgain) {
-  const auto registration = Make("10.0.0.1:1", WithLostCommits());
+  // The runner registers before, while or after the removal is repeated.
+  for (int i = 0; i < 10; ++i) {
+    const auto registration = MakeWithLostRemoval();
+    AdvanceTime(i * milliseconds(100), *registration);
+    if (i > 0) registration->Tick();
+    Register(*registration, "runner/2");
+    EXPECT_THAT(passed_on_, IsEmpty()) << i;
+    ExpectServedUnderANewRow(*registration);
+  }
+}
+
+// The refusal of the second removal proves nothing about the first.
+TEST_F(VmRegistrationTest, RefusedRemovalDoesNotHideAnEarlierLateOne) {
+  const auto registration = MakeWithLostRemoval();
+  refuse_commits_ = true;
   AdvanceTime(seconds(1), *registration);
-  runner_is_gone_ = true;
-  lose_commits_ = true;
-  AdvanceTime(milliseconds(10'100), *registration);
-  ASSERT_THAT(lost_commits_, Not(IsEmpty()));
-  lose_commits_ = false;
-  passed_on_.clear();
   Register(*registration, "runner/2");
   EXPECT_THAT(passed_on_, IsEmpty());
-  AdvanceTime(seconds(1), *registration);
-  EXPECT_THAT(passed_on_, ElementsAre("runner/2"));
-  for (const Transaction& late : lost_commits_) {
-    EXPECT_EQ(table_.model().Commit(late).result, CommitResult::kConflict);
-  }
-  EXPECT_EQ(AddressIn(kKey), "10.0.0.1:1");
+  refuse_commits_ = false;
+  ExpectServedUnderANewRow(*registration);
 }
 
 // The removal is in flight when the next runner registers.
