JobRepository: a lost call does not delay submissions after a silence

Cause: after 0.3 s without an answer of the table a read comes before a submission. If that read was lost, no other followed until its call timed out after 1.5 s. If a lost transaction was still open although its repeat had been answered, no read was sent at all and the submission waited until that transaction timed out. Change: the next read does not wait for a lost one, only for the reply timeout (0.15 to 1.5 s, by recent answers), and it is also sent while only abandoned transactions are open. Measured: LostReadDoesNotDelayASubmission and LostTransactionDoesNotDelayALaterSubmission fail without the change (nothing was sent within 0.25 s) and pass with it. job_repository_test 23 of 23, scheduler_test 6 of 6, work_owner_test 11 of 11, ownership_keeper_test 26 of 26.

--- a/beamhill/scheduler/job_repository.cc
+++ b/beamhill/scheduler/job_repository.cc
@@ -137,7 +137,10 @@
 }
 
 bool JobRepository::CheckDue() const {
-  return open_ == 0 && !table_down_ && !check_in_flight_ && !TableResponds() &&
+  // A lost read has no answer until its call times out, so the next one does
+  // not wait for it.
+  const bool awaiting_open = open_ > 0 && awaiting_answer_;
+  return !awaiting_open && !table_down_ && !TableResponds() &&
          !submissions_.empty() &&
          now_() - last_check_ >= answer_times_.ReplyTimeout();
 }
@@ -174,9 +177,9 @@
   if (stored && submissions_.count(number) > 0) {
     Finish(number, SubmitResult::kAlreadyStored);
   }
-  // With no transaction open, any answer shows that the table responds.
-  if (!lost && open_ > 0) return;
-  if (!awaiting_answer_ && open_ > 0) return;
+  // Unless the answer of an open transaction is awaited, any answer shows that
+  // the table responds.
+  if (open_ > 0 && awaiting_answer_ && !lost) return;
   awaiting_answer_ = false;
   if (CanSend()) SendPending();
 }
--- a/beamhill/scheduler/job_repository_test.cc
+++ b/beamhill/scheduler/job_repository_test.cc
@@ -103,6 +103,7 @@
       const TimePoint asked = now_;
       pending_reads_.push_back([this, asked, keys, done = std::move(done)] {
         if (now_ - asked < read_latency_) return false;
+        table_silence_ = Duration(0);
         done(table_.model().Read(keys));
         return true;
       });
@@ -234,6 +235,32 @@
   EXPECT_THAT(held_[0].workflows, testing::ElementsAre("b"));
 }
 
+// A read that is lost has no answer for the timeout of a call, 1.5 s. Nobody
+// has to wait for that, since the next read may be answered.
+TEST_F(JobRepositoryAnswersTest, LostReadDoesNotDelayASubmission) {
+  table_silence_ = std::chrono::milliseconds(500);
+  answer_reads_ = false;
+  SubmitHeld("a");
+  answer_reads_ = true;
+  AdvanceClock(std::chrono::milliseconds(250));
+  ASSERT_THAT(held_, testing::SizeIs(1));
+  EXPECT_THAT(held_[0].workflows, testing::ElementsAre("a"));
+}
+
+// A lost transaction stays open until the timeout of its call. Once its repeat
+// was answered, a submission after a silence must not wait for that.
+TEST_F(JobRepositoryAnswersTest, LostTransactionDoesNotDelayALaterSubmission) {
+  SubmitHeld("a");
+  AdvanceClock(std::chrono::milliseconds(250));
+  ASSERT_THAT(held_, testing::SizeIs(2));
+  AnswerHeld(1, CommitResult::kCommitted);
+  table_silence_ = std::chrono::milliseconds(500);
+  SubmitHeld("b");
+  AdvanceClock(std::chrono::milliseconds(250));
+  ASSERT_THAT(held_, testing::SizeIs(3));
+  EXPECT_THAT(held_[2].workflows, testing::ElementsAre("b"));
+}
+
 // Guards against repeats that overload a slow table: with 0.18 s per
 // transaction they filled its queue until it refused the owner's transactions
 // as well.
