JobRepository: a submission that can't be sent is refused within 2.2 s

Cause: since a read comes first after a silence, a submission may never be sent. Only a sent one had a time limit, and a scheduler that hears no owner does not report the table as down, so its callers waited without an answer, and the workflow was stored whenever the table answered again. Change: while no transaction is open and the table does not respond, a submission that was never sent ends as refused after the time limit of sent ones. Callers can retry it. Measured: UnsentSubmissionEndsWithinTheTimeout fails without the change (no result after 2.3 s) and passes with it. job_repository_test 24 of 24, scheduler_test 6 of 6, work_owner_test 11 of 11.

--- a/beamhill/scheduler/job_repository.cc
+++ b/beamhill/scheduler/job_repository.cc
@@ -13,7 +13,8 @@
 // Delay after a refusal; doubles with each consecutive one.
 constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(800);
-// Latest end of a submission that was sent; callers wait for a few seconds.
+// Latest end of a submission that was sent, or that was not since the table
+// does not answer; callers wait for a few seconds.
 constexpr Duration kSubmitTimeout = std::chrono::milliseconds(2200);
 // After this long without any answer of the table, a read comes first. A read
 // takes a few milliseconds, and what was not sent can still be refused.
@@ -93,7 +94,9 @@
 }
 
 JobRepository::Number JobRepository::Add(const Workflow& workflow) {
-  submissions_[++last_number_].workflow = workflow;
+  Submission& submission = submissions_[++last_number_];
+  submission.workflow = workflow;
+  submission.added_at = now_();
   return last_number_;
 }
 
@@ -116,10 +119,15 @@
 void JobRepository::Tick() {
   const TimePoint now = now_();
   for (const Number number : PendingSubmissions()) {
-    const auto first_sent_at = submissions_.at(number).first_sent_at;
-    const bool expired =
-        first_sent_at && now - *first_sent_at >= kSubmitTimeout;
-    if (expired) Finish(number, SubmitResult::kUnknown);
+    const Submission& submission = submissions_.at(number);
+    const auto first_sent_at = submission.first_sent_at;
+    if (first_sent_at) {
+      const bool expired = now - *first_sent_at >= kSubmitTimeout;
+      if (expired) Finish(number, SubmitResult::kUnknown);
+    } else if (open_ == 0 && !TableResponds() &&
+               now - submission.added_at >= kSubmitTimeout) {
+      Finish(number, SubmitResult::kRefused);
+    }
   }
   const bool overdue =
       open_ > 0 && now - last_sent_ >= answer_times_.ReplyTimeout();
--- a/beamhill/scheduler/job_repository.h
+++ b/beamhill/scheduler/job_repository.h
@@ -94,6 +94,7 @@
     int open = 0;  // Unanswered transactions that contain it.
     // Some transaction may have stored it or may yet do so.
     bool may_be_stored = false;
+    TimePoint added_at{};
     std::optional<TimePoint> first_sent_at;
   };
   using Number = uint64_t;  // Assigned in order of arrival.
--- a/beamhill/scheduler/job_repository_test.cc
+++ b/beamhill/scheduler/job_repository_test.cc
@@ -247,6 +247,18 @@
   EXPECT_THAT(held_[0].workflows, testing::ElementsAre("a"));
 }
 
+// A scheduler that hears no owner can't tell that the table is down. Its
+// callers must get an answer nevertheless, and may retry.
+TEST_F(JobRepositoryAnswersTest, UnsentSubmissionEndsWithinTheTimeout) {
+  table_silence_ = std::chrono::milliseconds(500);
+  answer_reads_ = false;
+  SubmitHeld("a");
+  AdvanceClock(std::chrono::milliseconds(2300));
+  ASSERT_EQ(results_.count("a"), 1);
+  EXPECT_EQ(results_.at("a"), SubmitResult::kRefused);
+  EXPECT_THAT(held_, testing::IsEmpty());
+}
+
 // A lost transaction stays open until the timeout of its call. Once its repeat
 // was answered, a submission after a silence must not wait for that.
 TEST_F(JobRepositoryAnswersTest, LostTransactionDoesNotDelayALaterSubmission) {
