Executor: a stalled VM without runs is polled at the short interval

Cause: once the owner had taken all runs off a stalled VM, polls waited for up to 1 s, as the detector had no run. The first answer that listed a probe could come 1 s after its start, and the owner stops a probe after 1.5 s, so a probe whose percent takes a few hundred milliseconds could fail though it progressed.

Change: while the state is stalled, polls wait for at most 250 ms.

--- a/beamhill/executor/executor_polling.cc
+++ b/beamhill/executor/executor_polling.cc
@@ -55,7 +55,11 @@
   const bool stopping = std::any_of(
       orders_.begin(), orders_.end(),
       [](const auto& entry) { return entry.second.phase == Phase::kStopped; });
-  const bool detecting = options_.detect_stalls && stall_detector_.has_runs();
+  // A stalled VM without runs may be given one at any time, as a probe that its
+  // owner stops unless it soon progresses.
+  const bool detecting =
+      options_.detect_stalls &&
+      (stall_detector_.has_runs() || stall_detector_.stalled());
   return paced || stopping || detecting ? kShortPollWait : kIdlePollWait;
 }
 
--- a/beamhill/executor/executor_stalls_test.cc
+++ b/beamhill/executor/executor_stalls_test.cc
@@ -106,6 +106,23 @@
   EXPECT_TRUE(Sent<VmInventory>()[0].status.stalled);
 }
 
+// Otherwise the first answer that lists a probe came up to a second after its
+// start, and the owner stops a probe after 1.5 s.
+TEST_F(ExecutorStallsTest, StalledVmWithoutRunsIsPolledForItsProbe) {
+  StartRuns();
+  Stall();
+  AdvanceTime(milliseconds(200));
+  AnswerPoll({}, {{1, kServing, RunEndKind::kStopped, ""},
+                  {2, kRun, RunEndKind::kStopped, ""}});
+  executor_->OnMessage(kLink, EndsAcknowledged{1, "incarnation-1", 2});
+  for (int i = 0; i < 8; ++i) {
+    AdvanceTime(milliseconds(200));
+    AnswerPoll({});
+  }
+  ASSERT_TRUE(executor_->status().stalled);
+  EXPECT_EQ(last_poll_.wait, milliseconds(250));
+}
+
 TEST_F(ExecutorStallsTest, NewIncarnationIsNotStalled) {
   StartRuns();
   Stall();
