Dispatcher: a task that starts up on a stalled VM counts as away

Cause: TasksAway left out tasks that start up on a VM which work is kept off, so that they could move on themselves. With a false detection on the VM that a task had just moved to, another task of its step was stopped as well: two away where max_unavailable allows one.

Change: only the task that is to move is left out while it starts up.

--- a/beamhill/dispatch/dispatch_stalls.cc
+++ b/beamhill/dispatch/dispatch_stalls.cc
@@ -120,8 +120,9 @@
     const RunRef run{{ref.workflow, ref.round, ref.step, i}, task.run};
     const bool runs = task.phase == WorkflowProgress::Phase::kHeld &&
                       vm != vms_.end() && Keeps(vm->second, run);
+    // The task that is to move may start up itself.
     const bool starts_up =
-        task.last_run_ended_at && !stalls_.Avoids(task.vm) &&
+        task.last_run_ended_at && i != ref.index &&
         now - task.held_since < dispatch_internal::kStartUpTime;
     if (!runs || starts_up) ++away;
   }
--- a/beamhill/dispatch/dispatch_stalls_test.cc
+++ b/beamhill/dispatch/dispatch_stalls_test.cc
@@ -393,5 +393,23 @@
   EXPECT_GE(moves, 5U);
 }
 
+// With a false detection on the VM that a task has just moved to, two tasks of
+// the step would be away at once.
+TEST_F(DispatcherStallsTest, TaskThatStartsUpOnAStalledVmIsAway) {
+  ConnectVms(6);
+  const auto starts = Start(LongRunningWorkflow("s", 4));
+  const std::string first = starts.at(0).first;
+  ASSERT_THAT(starts, Each(Key(first)));
+  SetStalled(first, true);
+  const auto stops = Advance(milliseconds(250)).stops;
+  ASSERT_THAT(stops, SizeIs(1));
+  ReceiveStopped(first, stops[0].second);
+  const auto moved = Advance(milliseconds(250)).starts;
+  ASSERT_THAT(moved, SizeIs(1));
+  SetStalled(moved[0].first, true);
+  // The task itself may move on.
+  EXPECT_THAT(Advance(milliseconds(500)).stops, testing::ElementsAre(moved[0]));
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -336,6 +336,7 @@
                      const WorkflowStep& step, TimePoint now) const;
   void MigrateOffStalled(const std::string& name, Vm& vm, TimePoint now);
   // Long-running tasks of the step that wait, are being stopped or start up.
+  // The task itself does not count while it starts up.
   size_t TasksAway(const Job& job, const TaskRef& ref, TimePoint now) const;
   void MoveLongRunningOffStalled(TimePoint now);
 
