Dispatcher: ticks with many stalled VMs take as long as without

Cause: while a VM was stalled, ChooseVm did not record that a long-running step or a gang had found no room, since other steps may still find a stalled VM as its probe. Each waiting step, and each task on a stalled VM, then compared all VMs. ReserveVmFor looked every VM up by name before it compared numbers.

Change: such a step is recorded and rules out only others that can't be probes, as gangs and long-running steps already do without stalls. ReserveVmFor looks up only VMs that would be chosen.

--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -112,7 +112,7 @@
   for (const auto& [name, vm] : vms_) {
     const VmStatus& status = vm.status;
     if (!vm.linked || !vm.has_inventory || status.draining ||
-        status.incarnation.empty() || IsEvacuated(vm) || stalls_.Avoids(name) ||
+        status.incarnation.empty() || IsEvacuated(vm) ||
         status.service != job.progress.workflow().service ||
         health_.IsQuarantined(name) || reserved_capacity_.count(name) > 0) {
       continue;
@@ -123,6 +123,7 @@
     const int64_t left = status.capacity.cpu_millis - vm.serving_cpu;
     if (!labelled || left < step.each.cpu_millis) continue;
     if (best != nullptr && left <= most) continue;
+    if (stalls_.Avoids(name)) continue;
     best = &name;
     most = left;
   }
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -335,7 +335,12 @@
     // The VMs that are harmful depend on the best-effort image.
     const bool alike = earlier.best_effort == step.best_effort &&
                        (!step.best_effort || earlier.image == step.image);
-    return entry.first == service && alike && step.each.Holds(earlier.each);
+    // Unlike the earlier step, this one might find room on a stalled VM, as its
+    // probe.
+    const bool probes = !stalls_.empty() && dispatch_internal::MayProbe(step) &&
+                        !dispatch_internal::MayProbe(earlier);
+    return entry.first == service && alike && !probes &&
+           step.each.Holds(earlier.each);
   });
 }
 
@@ -379,11 +384,7 @@
       *name = vm_name;
     }
   }
-  // Other steps might find room on a stalled VM, as its probe.
-  const bool never_probes = step.long_running || step.gang;
-  if (best == nullptr && simple && (stalls_.empty() || !never_probes)) {
-    no_room_.emplace_back(workflow.service, step);
-  }
+  if (best == nullptr && simple) no_room_.emplace_back(workflow.service, step);
   return best;
 }
 
--- a/beamhill/dispatch/dispatch_stalls.cc
+++ b/beamhill/dispatch/dispatch_stalls.cc
@@ -88,7 +88,7 @@
 
 bool Dispatcher::MayProbeStall(const std::string& name, const Vm& vm,
                                const WorkflowStep& step, TimePoint now) const {
-  if (step.gang || step.long_running || !stalls_.ProbeIsDue(name, now)) {
+  if (!dispatch_internal::MayProbe(step) || !stalls_.ProbeIsDue(name, now)) {
     return false;
   }
   return std::all_of(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -184,6 +184,12 @@
   bool has_new_image = false;
 };
 
+// Whether a run of the step may be the probe of a stalled VM. Gangs and
+// long-running tasks can't be moved away at once if the probe fails.
+inline bool MayProbe(const WorkflowStep& step) {
+  return !step.gang && !step.long_running;
+}
+
 // Keeps other workflows off until a start at `begins` can no longer crash the
 // runner.
 inline void BeginTrial(Vm& vm, const std::string& workflow, TimePoint begins) {
