--- a/beamhill/dispatch/dispatch_stalls.cc
+++ b/beamhill/dispatch/dispatch_stalls.cc
@@ -88,7 +88,7 @@
 
 bool Dispatcher::MayProbeStall(const std::string& name, const Vm& vm,
                                const WorkflowStep& step, TimePoint now) const {
-  if (step.gang || step.long_running || !stalls_.ProbeIsDue(name, now)) {
+  if (!dispatch_internal::MayProbe(step) || !stalls_.ProbeIsDue(name, now)) {
     return false;
   }
   return std::all_of(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
@@ -120,8 +120,9 @@
     const RunRef run{{ref.workflow, ref.round, ref.step, i}, task.run};
     const bool runs = task.phase == WorkflowProgress::Phase::kHeld &&
                       vm != vms_.end() && Keeps(vm->second, run);
+    // The task that is to move may start up itself.
     const bool starts_up =
-        task.last_run_ended_at && !stalls_.Avoids(task.vm) &&
+        task.last_run_ended_at && i != ref.index &&
         now - task.held_since < dispatch_internal::kStartUpTime;
     if (!runs || starts_up) ++away;
   }
