Registration: nothing starts on a VM that a new owner does not wait for

(2) A removal by an earlier process of the VM that takes effect after the next one found its row unchanged left the VM without a row for as long as an owner was heard. Change: once a missing row is stored, the owner's row is read before the runner's registration is passed on, and the executor rejects owners below that epoch. A row kept from an earlier process is checked once more after 10 s.

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -236,6 +236,16 @@
   PollSoon();
 }
 
+void Executor::RejectOwnersBelow(uint64_t epoch) {
+  if (epoch <= epoch_) return;
+  hooks_.log(
+      "owner_outdated", "",
+      "epoch " + std::to_string(epoch_) + " is below " + std::to_string(epoch));
+  DropOrders();
+  epoch_ = epoch;
+  owner_link_.reset();
+}
+
 void Executor::OnLinkDown(uint64_t link) {
   if (owner_link_ == link) owner_link_.reset();
 }
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -97,6 +97,9 @@
   // Handles the announcement of this incarnation that it is about to exit.
   void OnRunnerLeaving(const std::string& incarnation);
 
+  // Rejects owners with a lower epoch from now on, even one that is attached.
+  void RejectOwnersBelow(uint64_t epoch);
+
   void OnMessage(uint64_t link, const DispatchMessage& message);
   void OnLinkDown(uint64_t link);
   void Tick();
@@ -328,14 +331,14 @@
   std::optional<TimePoint> leaving_since_;
   std::optional<TimePoint> leave_polled_at_;
   bool runner_is_gone_ = false;
+  // A poll has found it gone. Without an owner there is none, and the
+  // announcement may be a delayed one of an earlier incarnation.
+  bool departure_verified_ = false;
   // The runner has warmed up by then, as its last registration told.
   TimePoint warm_at_{};
   StallDetector stall_detector_;
   TimePoint stalled_since_{};  // Valid while `status_.stalled`.
-  // A poll has found it gone. Without an owner there is none, and the
-  // announcement may be a delayed one of an earlier incarnation.
-  bool departure_verified_ = false;
-  RunnerClock clock_{};  // Reading of the runner's clock at `clock_at_`.
+  RunnerClock clock_{};        // Reading of the runner's clock at `clock_at_`.
   TimePoint clock_at_{};
   bool clock_known_ = false;
   TimePoint last_answer_{};  // Of the current incarnation, to any call.
--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -115,6 +115,9 @@
   hooks.random = [this] {
     return std::uniform_real_distribution<double>(0, 1)(random_);
   };
+  hooks.on_owner_epoch = [this](uint64_t epoch) {
+    executor_->RejectOwnersBelow(epoch);
+  };
   hooks.since_owner = [this] { return executor_->SinceOwner(); };
   hooks.runner_is_gone = [this] { return executor_->runner_is_gone(); };
   hooks.log = [this](const std::string& event, const std::string& detail) {
--- a/beamhill/executor/vm_registration.cc
+++ b/beamhill/executor/vm_registration.cc
@@ -42,12 +42,18 @@
     if (runner_registered_) Store(0);
     return;
   }
+  if (stored() && waiting_) {
+    ReadOwnerEpoch();
+    return;
+  }
   if (stored() && RemovalDue()) {
     RemoveUnusedRow();
     return;
   }
   const bool found_by_owner = hooks_.since_owner() < kUnownedAfter;
-  if (stored() && (found_by_owner || now < check_at_)) return;
+  const bool recheck = recheck_at_ && now >= *recheck_at_;
+  if (stored() && !recheck && (found_by_owner || now < check_at_)) return;
+  if (recheck) recheck_at_.reset();
   ReadOwnRow();
 }
 
@@ -62,7 +68,7 @@
   // The executor serves this incarnation already; its renewals tell whether it
   // drains.
   const bool served = incarnation == served_incarnation_;
-  if (!row_may_be_absent || served) {
+  if ((!row_may_be_absent && !waiting_) || served) {
     waiting_.reset();
     served_incarnation_ = incarnation;
     pass_on();
@@ -134,7 +140,10 @@
     }
     return;
   }
-  if (version_ != row.version) hooks_.log("vm_registered", "row unchanged");
+  if (version_ != row.version) {
+    hooks_.log("vm_registered", "row unchanged");
+    recheck_at_ = hooks_.now() + kRowCheckInterval;
+  }
   OnStored(row.version);
 }
 
@@ -194,7 +203,35 @@
   version_ = version;
   backoff_ = Duration(0);
   check_at_ = hooks_.now() + kRowCheckInterval;
+  if (waiting_) ReadOwnerEpoch();
+}
+
+void VmRegistration::ReadOwnerEpoch() {
+  call_in_flight_ = true;
+  table_.read({rows::kOwner},
+              lifetime_.Guard([this](const Result<std::vector<Row>>& rows) {
+                call_in_flight_ = false;
+                if (withdrawn_) {
+                  RemoveRows();
+                } else if (!IsOk(rows)) {
+                  RetryLater(kNotRegistered, ErrorOf(rows).message);
+                } else {
+                  OnOwnerRow(ValueOf(rows).front());
+                }
+              }));
+}
+
+void VmRegistration::OnOwnerRow(const Row& row) {
   if (!waiting_) return;
+  if (row.version != 0) {
+    const auto owner = DecodeRecord<OwnerRecord>(row.value);
+    if (!IsOk(owner)) {
+      RetryLater(kNotRegistered, ErrorOf(owner).message);
+      return;
+    }
+    hooks_.on_owner_epoch(ValueOf(owner).epoch);
+  }
+  backoff_ = Duration(0);
   const WaitingRegistration registration = *std::exchange(waiting_, {});
   served_incarnation_ = registration.incarnation;
   registration.pass_on();
--- a/beamhill/executor/vm_registration.h
+++ b/beamhill/executor/vm_registration.h
@@ -42,6 +42,9 @@
   std::function<Duration()> since_owner;
   // Whether the runner has announced its exit and has since been found gone.
   std::function<bool()> runner_is_gone;
+  // Receives the epoch of the owner that the table names. Called after a
+  // missing row was stored and before a registration is passed on.
+  std::function<void(uint64_t epoch)> on_owner_epoch;
   std::function<void(const std::string& event, const std::string& detail)> log;
 };
 
@@ -94,6 +97,11 @@
   void OnAbsent();
   void Store(uint64_t version);
   void OnStored(uint64_t version);
+  // Reads the owner's row, then passes the waiting registration on. An owner
+  // that took over while the row was missing does not wait for this VM, so
+  // earlier owners that are still linked must not start anything here.
+  void ReadOwnerEpoch();
+  void OnOwnerRow(const Row& row);
   // Removes both rows of a VM whose runner is gone.
   void RemoveUnusedRow();
   void OnRemoved(const CommitAnswer& answer);
@@ -130,6 +138,9 @@
   // Failed calls are repeated then; a stored row is checked then.
   TimePoint retry_at_{};
   TimePoint check_at_{};
+  // When a row that an earlier process has stored is checked once more, even if
+  // an owner is heard: a removal by that process may take effect late.
+  std::optional<TimePoint> recheck_at_;
   Duration backoff_{};
   Lifetime lifetime_;
 };
--- a/beamhill/replay/fleet_start.cc
+++ b/beamhill/replay/fleet_start.cc
@@ -97,6 +97,7 @@
     hooks.random = [this] { return Uniform(); };
     hooks.since_owner = [] { return Duration(0); };
     hooks.runner_is_gone = [] { return false; };
+    hooks.on_owner_epoch = [](uint64_t) {};
     hooks.log = [](const std::string&, const std::string&) {};
     registrations_.push_back(std::make_unique<VmRegistration>(
         MakeVmRecord(number, "1"), table_.AsTable(), std::move(hooks)));
--- a/beamhill/replay/leaving_runner_test.cc
+++ b/beamhill/replay/leaving_runner_test.cc
@@ -78,5 +78,57 @@
   EXPECT_EQ(owner_->HeldRunsOf("w"), 1);
 }
 
+// Guards against a double start: a successor does not wait for a VM without a
+// row, and an earlier owner may still be linked when the next runner registers.
+TEST_F(LeavingRunnerTest, OwnerBeforeTheTakeoverStartsNothingOnANewRunner) {
+  TakeOver(1);
+  for (int i = 0; i < 10 && pending_polls_.empty(); ++i) ExchangeMessages();
+  executor_->OnRunnerLeaving("vm-1-incarnation");
+  for (int i = 0; i < 40 && !executor_->runner_is_gone(); ++i) {
+    executor_->Tick();
+    now_ += std::chrono::milliseconds(50);
+    AnswerPolls({}, /*gone=*/true);
+  }
+  ASSERT_TRUE(executor_->runner_is_gone());
+  for (int i = 0; i < 10; ++i) ExchangeMessages();
+  ASSERT_FALSE(started_);
+  std::unique_ptr<Dispatcher> earlier = std::move(owner_);
+  // The successor finds only the row of vm-2.
+  DispatcherOptions options;
+  options.epoch = 2;
+  options.inherited_vms = {"vm-2"};
+  owner_ = Dispatcher::Create(options, nullptr, now_);
+  owner_->AddWorkflow(SingleTaskWorkflow(), std::nullopt, now_);
+  LinkVm2();
+  for (int i = 0; i < 10 && !started_again_; ++i) ExchangeMessages();
+  EXPECT_TRUE(started_again_);  // On vm-2.
+  // The earlier owner has not heard of it; its authority is not over.
+  std::swap(owner_, earlier);
+  VmStatus status = StatusOf("vm-1");
+  status.incarnation = "vm-1-next";
+  messages_to_owner_.clear();
+  executor_->RejectOwnersBelow(2);  // As the table names the successor.
+  executor_->OnRunnerRegistered(status, RunnerClock(1));
+  for (int i = 0; i < 20; ++i) {
+    now_ += std::chrono::milliseconds(50);
+    for (const auto& m : std::exchange(messages_to_owner_, {})) {
+      if (const auto* st = std::get_if<VmStatus>(&m)) {
+        owner_->OnStatus("vm-1", *st, now_);
+      } else if (const auto* hb = std::get_if<VmHeartbeat>(&m)) {
+        owner_->OnHeartbeat("vm-1", *hb, now_);
+      } else if (const auto* inv = std::get_if<VmInventory>(&m)) {
+        owner_->OnInventory("vm-1", *inv, now_);
+      }
+    }
+    owner_->Tick(now_, UnixMillis(1'000'000));
+    for (const VmMessage& out : owner_->TakeMessages()) {
+      if (out.vm == "vm-1") executor_->OnMessage(1, out.message);
+    }
+    executor_->Tick();
+    AnswerPolls({});
+  }
+  EXPECT_FALSE(started_);
+}
+
 }  // namespace
 }  // namespace beamhill
