--- a/beamhill/executor/stall_detector.h
+++ b/beamhill/executor/stall_detector.h
@@ -5,7 +5,8 @@
 // on the VM progressed:
 //  - Runs use CPU without progress. Together they have used several times the
 //    CPU that a percent of their work took before.
-//  - The tail latencies of all serving tasks are above ten times their targets.
+//  - The tail latencies of all serving tasks are above fifty times their
+//  targets.
 // A run that progresses clears the state. On a VM without other active runs,
 // so do tail latencies that have returned to normal.
 //
@@ -30,7 +31,7 @@
 namespace beamhill {
 
 // Whether a tail latency is too high to be explained by interference, which
-// raises it to a few times its target.
+// raises it to 15 times its target at most.
 bool ExceedsInterference(const ServingSample& sample);
 
 // One running run as a poll lists it, with what the executor knows of it.
