--- a/beamhill/executor/stall_detector.cc
+++ b/beamhill/executor/stall_detector.cc
@@ -8,8 +8,8 @@
 // How long evidence must last.
 constexpr Duration kMinStall = std::chrono::milliseconds(500);
 constexpr uint64_t kMinPolls = 2;
-// Under interference, tails are up to 15 times their target; in stalls they were
-// 500 times it and more.
+// Under interference, tails are up to 15 times their target; in stalls they
+// were 500 times it and more.
 constexpr double kStallTailRatio = 50;
 // Tails and CPU use cover the last half second, so measurements reflect a
 // change only after this time.
--- a/beamhill/executor/stall_detector.h
+++ b/beamhill/executor/stall_detector.h
@@ -6,7 +6,7 @@
 //  - Runs use CPU without progress. Together they have used several times the
 //    CPU that a percent of their work took before.
 //  - The tail latencies of all serving tasks are above fifty times their
-//  targets.
+//    targets.
 // A run that progresses clears the state. On a VM without other active runs,
 // so do tail latencies that have returned to normal.
 //
