Executors that no owner can find don't stand in for schedulers

Cause: a VM whose runner has not registered has no row, so no owner attaches to its executor, which after 3.5 s took the owner for lost, joined the schedulers and followed the operators' table. Change: the time without an owner counts from when the row is stored.

--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -1,5 +1,6 @@
 #include "beamhill/executor/executor_process.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "beamhill/base/random.h"
@@ -140,6 +141,10 @@
   executor_->OnRunnerLeaving(incarnation);
 }
 
+Duration ExecutorProcess::SinceOwner() const {
+  return std::min(executor_->SinceOwner(), registration_->StoredFor());
+}
+
 void ExecutorProcess::Leave(std::function<void()> done) {
   if (!executor_->runner_is_gone()) {
     done();
--- a/beamhill/executor/executor_process.h
+++ b/beamhill/executor/executor_process.h
@@ -46,6 +46,9 @@
   void OnRunnerLeaving(const std::string& incarnation);
 
   const Executor& executor() const { return *executor_; }
+  // Time since the last message of an owner, or since owners can find this VM
+  // if that is shorter; zero while they can't.
+  Duration SinceOwner() const;
   // Prepares the exit of the process, then calls `done`. If the runner is gone,
   // removes the VM's row, so that later owners don't wait for this VM.
   void Leave(std::function<void()> done);
--- a/beamhill/executor/vm_registration.cc
+++ b/beamhill/executor/vm_registration.cc
@@ -198,7 +198,12 @@
                 }));
 }
 
+Duration VmRegistration::StoredFor() const {
+  return stored() ? hooks_.now() - stored_at_ : Duration(0);
+}
+
 void VmRegistration::OnStored(uint64_t version) {
+  if (!stored()) stored_at_ = hooks_.now();
   state_ = RowState::kStored;
   version_ = version;
   backoff_ = Duration(0);
--- a/beamhill/executor/vm_registration.h
+++ b/beamhill/executor/vm_registration.h
@@ -66,6 +66,9 @@
   void OnRunnerLeaving(const std::string& incarnation);
   // Whether the row was correct when it was last read or written.
   bool stored() const { return state_ == RowState::kStored; }
+  // How long the row has been stored, as far as this process knows: owners
+  // can't find the VM before that. Zero while it is not stored.
+  Duration StoredFor() const;
   // Removes the row and the one under the key of earlier versions, then calls
   // `done`, even if the table can't be reached. No row is written and no
   // registration is passed on afterwards.
@@ -137,6 +140,7 @@
   std::optional<TimePoint> gone_since_;
   // Failed calls are repeated then; a stored row is checked then.
   TimePoint retry_at_{};
+  TimePoint stored_at_{};  // Valid while the row is stored.
   TimePoint check_at_{};
   // When a row that an earlier process has stored is checked once more, even if
   // an owner is heard: a removal by that process may take effect late.
--- a/beamhill/executor/vm_registration_owners_test.cc
+++ b/beamhill/executor/vm_registration_owners_test.cc
@@ -64,6 +64,18 @@
   EXPECT_THAT(passed_on_, ElementsAre("runner/1"));
 }
 
+// Guards against executors without a runner that take their owner for lost and
+// stand in for schedulers: no owner can find them.
+TEST_F(VmRegistrationOwnersTest, VmCanBeFoundOnlyOnceItsRowIsStored) {
+  const auto registration = MakeWithoutRunner("10.0.0.1:1");
+  AdvanceTime(seconds(10), *registration);
+  EXPECT_EQ(registration->StoredFor(), Duration(0));
+  Register(*registration, "runner/1");
+  AdvanceTime(seconds(2), *registration);
+  EXPECT_GT(registration->StoredFor(), seconds(1));
+  EXPECT_LE(registration->StoredFor(), seconds(2));
+}
+
 // Guards against a VM that runs tasks without a row: a removal by an earlier
 // process of the VM takes effect after the next one found the row unchanged.
 TEST_F(VmRegistrationOwnersTest, LateRemovalByAnEarlierProcessIsRepaired) {
--- a/beamhill/messages/internal/cbor_fields.h
+++ b/beamhill/messages/internal/cbor_fields.h
@@ -92,9 +92,9 @@
       // value, so that earlier versions of the program can read the structure.
       const size_t min_count = MinFieldCount<T>::Of(array.size());
       if (min_count == array.size()) return array;
-      static const Json defaults = ToArray(T());
+      static const Json kDefaults = ToArray(T());
       while (array.size() > min_count &&
-             array.back() == defaults[array.size() - 1]) {
+             array.back() == kDefaults[array.size() - 1]) {
         array.erase(array.size() - 1);
       }
       return array;
