--- a/beamhill/replay/fleet_restart_test.cc
+++ b/beamhill/replay/fleet_restart_test.cc
@@ -165,6 +165,9 @@
     row_hooks.random = [] { return 0.5; };
     row_hooks.since_owner = [&vm] { return vm.executor->SinceOwner(); };
     row_hooks.runner_is_gone = [&vm] { return vm.executor->runner_is_gone(); };
+    row_hooks.on_owner_epoch = [&vm](uint64_t epoch) {
+      vm.executor->RejectOwnersBelow(epoch);
+    };
     row_hooks.log = [](const std::string&, const std::string&) {};
     vm.registration = std::make_unique<VmRegistration>(
         VmRecord{vm.name, vm.name + ":1"}, table_.AsTable(),
