Executor: log runners without progress that are not judged as stalled

Three causes were possible: the runs are not listed in time, they do not count as using CPU, or nothing tells what a percent of their work costs. The logs could not tell these apart.

The executor now logs runner_without_progress, with the number of runs that use CPU and of those whose cost of a percent is known, and exports beamhill_runner_without_progress_seconds.

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -114,6 +114,11 @@
   Duration SinceOwner() const { return hooks_.now() - owner_heard_at_; }
   const ExecutorCounts& counts() const { return counts_; }
   const VmStatus& status() const { return status_; }
+  // How long no run has progressed although some use CPU; zero unless stalls
+  // are detected.
+  Duration WithoutProgress() const {
+    return stall_detector_.without_progress();
+  }
   // Number of starts that are queued for the runner.
   size_t starts_waiting() const { return start_queue_.waiting(); }
   // Age of the oldest ordered stop whose outcome is still open; zero if there
@@ -259,6 +264,7 @@
   // Updates VmStatus::stalled by a poll's answer and sends each change.
   void UpdateStalled(const RunnerView& view, TimePoint sent_at, Duration wait,
                      TimePoint now);
+  void LogWithoutProgress(TimePoint now);
   void SendInventory(const RunnerView& view);
   void SendEmptyInventory();
   void AddPastIncarnations(VmInventory& inventory) const;
@@ -338,7 +344,8 @@
   TimePoint warm_at_{};
   StallDetector stall_detector_;
   TimePoint stalled_since_{};  // Valid while `status_.stalled`.
-  RunnerClock clock_{};        // Reading of the runner's clock at `clock_at_`.
+  TimePoint without_progress_logged_at_{};
+  RunnerClock clock_{};  // Reading of the runner's clock at `clock_at_`.
   TimePoint clock_at_{};
   bool clock_known_ = false;
   TimePoint last_answer_{};  // Of the current incarnation, to any call.
--- a/beamhill/executor/executor_polling.cc
+++ b/beamhill/executor/executor_polling.cc
@@ -29,6 +29,10 @@
 // once.
 constexpr Duration kReportRepeatInterval = std::chrono::seconds(1);
 constexpr size_t kMaxRepeatedEnds = 8;
+// A runner without progress is logged after this time, at most once in the
+// interval: tasks that run for hours progress this slowly without a stall.
+constexpr Duration kLoggedWithoutProgress = std::chrono::seconds(1);
+constexpr Duration kWithoutProgressLogInterval = std::chrono::seconds(10);
 
 // Polls may be answered out of order, so the result may be lower than for an
 // answer handled before.
@@ -159,6 +163,7 @@
     row.paused = paced.percent == 0;
   }
   stall_detector_.Observe(poll);
+  LogWithoutProgress(now);
   if (stall_detector_.stalled() == status_.stalled) return;
   status_.stalled = stall_detector_.stalled();
   if (status_.stalled) {
@@ -181,6 +186,23 @@
   SendToOwner(status_);
 }
 
+// Tells which runs the detector could judge, if it has found no stall.
+void Executor::LogWithoutProgress(TimePoint now) {
+  const Duration time = stall_detector_.without_progress();
+  if (time < kLoggedWithoutProgress || stall_detector_.stalled() ||
+      now - without_progress_logged_at_ < kWithoutProgressLogInterval) {
+    return;
+  }
+  without_progress_logged_at_ = now;
+  hooks_.log("runner_without_progress", "",
+             status_.incarnation + " for " +
+                 std::to_string(static_cast<int64_t>(ToMillis(time))) +
+                 " ms: runs that use CPU " +
+                 std::to_string(stall_detector_.active_runs()) +
+                 ", with a known cost of a percent " +
+                 std::to_string(stall_detector_.judged_runs()));
+}
+
 void Executor::SendInventory(const RunnerView& view) {
   VmInventory inventory;
   inventory.epoch = epoch_;
--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -98,6 +98,10 @@
   metrics.AddGauge(
       "beamhill_runner_stalled", "1 while the runner's tasks make no progress.",
       [executor] { return executor->status().stalled ? 1.0 : 0.0; });
+  metrics.AddGauge(
+      "beamhill_runner_without_progress_seconds",
+      "Time without progress of any run that uses CPU.",
+      [executor] { return ToMillis(executor->WithoutProgress()) / 1000; });
   gauge("beamhill_runner_stalls_total", "Stalls of the runner's tasks.",
         &ExecutorCounts::stalls);
 }
--- a/beamhill/executor/stall_detector.cc
+++ b/beamhill/executor/stall_detector.cc
@@ -94,6 +94,7 @@
   run.time_without_progress += elapsed.at_least;
   const bool active =
       use > 0 && use * kDonePercent > row.cpu_millis * kActiveUsePercent;
+  if (active) ++sums.active_runs;
   // Percentages are rounded down, so up to one percent of the gain may have
   // been made before it was first listed.
   const int gained = run.gained_percent - 1;
@@ -137,6 +138,7 @@
   const bool was_stalled = stalled();
   evidence_ = Evidence::kNone;
   polls_without_progress_ = 0;
+  without_progress_ = Duration(0);
   polls_with_normal_tails_ = 0;
   tails_high_for_ = Duration(0);
   for (auto& [ref, run] : runs_) {
@@ -149,6 +151,8 @@
 
 void StallDetector::UpdateEvidence(const Sums& sums, const StallPoll& poll,
                                    const Elapsed& elapsed) {
+  active_runs_ = sums.active_runs;
+  judged_runs_ = sums.runs;
   const bool high =
       poll.warm && sums.steady_samples > 0 && sums.all_samples_high;
   if (sums.progress) {
@@ -157,6 +161,8 @@
     return;
   }
   ++polls_without_progress_;
+  without_progress_ =
+      sums.active_runs > 0 ? without_progress_ + elapsed.at_least : Duration(0);
   tails_high_for_ =
       high && tails_high_ ? tails_high_for_ + elapsed.at_least : Duration(0);
   tails_high_ = high;
--- a/beamhill/executor/stall_detector.h
+++ b/beamhill/executor/stall_detector.h
@@ -70,6 +70,12 @@
   bool stalled() const { return evidence_ != Evidence::kNone; }
   // The evidence that led to the current stall; kNone without one.
   Evidence evidence() const { return evidence_; }
+  // How long no run has progressed although some use CPU, underestimated.
+  Duration without_progress() const { return without_progress_; }
+  // Number of runs of the newest poll that use CPU, and of those among them
+  // for which it is known how much CPU a percent takes.
+  int active_runs() const { return active_runs_; }
+  int judged_runs() const { return judged_runs_; }
 
  private:
   struct RunState {
@@ -96,6 +102,7 @@
   // Sums over the runs that count as evidence of one poll.
   struct Sums {
     bool progress = false;
+    int active_runs = 0;
     int runs = 0;        // Runs that use CPU and have progressed before.
     double percent = 0;  // That these would have gained at their earlier cost.
     Duration longest{};  // Time without progress of any of these.
@@ -123,6 +130,9 @@
   Evidence evidence_ = Evidence::kNone;
   uint64_t polls_ = 0;  // Observed in the order in which they were sent.
   uint64_t polls_without_progress_ = 0;
+  Duration without_progress_{};
+  int active_runs_ = 0;
+  int judged_runs_ = 0;
   TimePoint sent_at_{};  // Of the newest poll.
   TimePoint answered_at_{};
   TimePoint state_at_{};       // See StateTime.
