Stall detector: count what a run has gained before it is first listed

What callers saw: workflows waited on a runner that stalls before any of its runs was seen to progress, until the stall ended (6 s) or without end (30 s).

Cause: the detector compares the CPU that runs use without progress with what a percent of their work took before, and counts a percent only if two polls show it. Runs of a second are listed for the first time within the stall, with what they have gained before it, so the cost of a percent was unknown for all of them (runner_without_progress: 8 runs use CPU, cost known for 0).

Change: the executor tells the detector when it sends a start. What the run is first listed with was then gained since, at no more than the highest CPU use measured or requested. Runs that resume from a checkpoint are left out: their percentage contains the work of earlier runs. Everything else of the evidence stays: several times the CPU of a percent, half a second, two polls.

With the new line disabled the tests StallBeforeTheFirstListingOfStartedRuns and RunThatProgressedBeforeItsFirstListingIsDetected fail. Slow VMs, long tasks with a known start and runs that are paced right after their start are not detected.

--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -97,6 +97,10 @@
   }
   ++counts_.starts;
   incarnation_record_.OnStartSent(run, now);
+  // A run that resumes is listed with what earlier runs have gained.
+  if (options_.detect_stalls && start.checkpoint.empty()) {
+    stall_detector_.OnStartSent(run, now);
+  }
   Order& order = orders_[run];
   order.phase = Phase::kStarting;
   order.phase_began_at = now;
--- a/beamhill/executor/executor_stalls_test.cc
+++ b/beamhill/executor/executor_stalls_test.cc
@@ -91,6 +91,27 @@
   EXPECT_TRUE(executor_->status().stalled);
 }
 
+// Guards against a stall that begins before any run was seen to progress.
+TEST_F(ExecutorStallsTest, RunThatProgressedBeforeItsFirstListingIsDetected) {
+  for (const bool resumed : {false, true}) {
+    SCOPED_TRACE(resumed);
+    Register(resumed ? "incarnation-2" : "incarnation-1");
+    Attach(1 + resumed);
+    ::beamhill::StartRuns starts;
+    starts.epoch = executor_->epoch();
+    starts.incarnation = executor_->status().incarnation;
+    starts.workflow = kRun.task.workflow;
+    starts.runs = {{kRun.task.index, kRun.run, resumed ? "half" : "", ""}};
+    executor_->OnMessage(kLink, starts);
+    AnswerAll(starts_);
+    for (int i = 0; i < 8; ++i) {
+      AdvanceTime(milliseconds(200));
+      AnswerPoll({{kRun, 30, 1000}});
+    }
+    EXPECT_EQ(executor_->status().stalled, !resumed);
+  }
+}
+
 // Registrations are renewed every second and don't tell of stalls.
 TEST_F(ExecutorStallsTest, RenewedRegistrationKeepsTheState) {
   StartRuns();
--- a/beamhill/executor/stall_detector.cc
+++ b/beamhill/executor/stall_detector.cc
@@ -27,6 +27,8 @@
 // Polls with normal tails that clear the state.
 constexpr int kMinNormalPolls = 2;
 constexpr int kDonePercent = 100;
+// A run that is not listed this long after its start was sent has not begun.
+constexpr Duration kStartRetention = std::chrono::seconds(10);
 
 // The likely moment of the state that the answer shows. It is later if the
 // runner answered late, and earlier if it had an end to list and the answer was
@@ -79,6 +81,31 @@
   }
 }
 
+void StallDetector::ObserveFirstListing(const RunningRun& running,
+                                        const StallPoll& poll,
+                                        RunState& run) const {
+  run.percent = running.percent;
+  const auto start = starts_sent_.find(running.run);
+  if (start == starts_sent_.end()) return;
+  run.first_percent = running.percent;
+  run.time_to_first_percent = poll.answered_at - start->second;
+}
+
+std::optional<double> StallDetector::LostPercent(const StallRow& row,
+                                                 const RunState& run) const {
+  // Percentages are rounded down, so up to one percent of the gain may have
+  // been made before it was first listed.
+  const int gained = run.gained_percent + run.first_percent - 1;
+  if (gained < 1) return std::nullopt;
+  // No poll has measured the CPU use before the first listing, and the run may
+  // have been paced since.
+  const auto first_use =
+      static_cast<double>(std::max(run.highest_measurement, row.cpu_millis));
+  const double used =
+      run.cpu_to_last_rise + first_use * ToMillis(run.time_to_first_percent);
+  return used > 0 ? run.cpu_without_progress * gained / used : 0;
+}
+
 void StallDetector::ObserveCpu(const StallRow& row, bool settled, bool rose,
                                const Elapsed& elapsed, RunState& run,
                                Sums& sums) const {
@@ -95,14 +122,11 @@
   const bool active =
       use > 0 && use * kDonePercent > row.cpu_millis * kActiveUsePercent;
   if (active) ++sums.active_runs;
-  // Percentages are rounded down, so up to one percent of the gain may have
-  // been made before it was first listed.
-  const int gained = run.gained_percent - 1;
-  if (!active || gained < 1 || row.running->percent >= kDonePercent) return;
-  const double cost = run.cpu_to_last_rise / gained;
-  const double lost = cost > 0 ? run.cpu_without_progress / cost : 0;
+  if (!active || row.running->percent >= kDonePercent) return;
+  const std::optional<double> lost = LostPercent(row, run);
+  if (!lost) return;
   ++sums.runs;
-  sums.percent += std::min(lost, kMaxLostPercent);
+  sums.percent += std::min(*lost, kMaxLostPercent);
   sums.longest = std::max(sums.longest, run.time_without_progress);
 }
 
@@ -114,7 +138,8 @@
   run.poll = polls_;
   const bool settled = poll.sent_at - row.pace_ordered_at >= kMeasurementDelay;
   if (added) {
-    run.percent = running.percent;
+    ObserveFirstListing(running, poll, run);
+    starts_sent_.erase(running.run);
   } else {
     const int64_t use = std::max(run.measurement, running.measurement);
     run.cpu_since_last_rise +=
@@ -132,6 +157,8 @@
     if (!added) ObserveCpu(row, settled, rose, elapsed, run, sums);
   }
   run.measurement = running.measurement;
+  run.highest_measurement =
+      std::max(run.highest_measurement, running.measurement);
 }
 
 void StallDetector::OnProgress() {
@@ -189,6 +216,17 @@
   }
 }
 
+void StallDetector::OnStartSent(const RunRef& run, TimePoint now) {
+  starts_sent_[run] = now;
+}
+
+void StallDetector::ForgetOldStarts(TimePoint now) {
+  for (auto it = starts_sent_.begin(); it != starts_sent_.end();) {
+    const bool old = now - it->second >= kStartRetention;
+    it = old ? starts_sent_.erase(it) : std::next(it);
+  }
+}
+
 void StallDetector::Observe(const StallPoll& poll) {
   Sums sums;
   sums.progress = NoteEnds(*poll.ended);
@@ -215,6 +253,7 @@
   answered_at_ = poll.answered_at;
   for (const StallRow& row : poll.rows) ObserveRun(row, poll, elapsed, sums);
   ForgetAbsentRuns(poll.rows.size());
+  ForgetOldStarts(poll.answered_at);
   UpdateEvidence(sums, poll, elapsed);
 }
 
--- a/beamhill/executor/stall_detector.h
+++ b/beamhill/executor/stall_detector.h
@@ -4,7 +4,8 @@
 // Two kinds of evidence lead to it, each over at least 500 ms in which nothing
 // on the VM progressed:
 //  - Runs use CPU without progress. Together they have used several times the
-//    CPU that a percent of their work took before.
+//    CPU that a percent of their work took before. What a run has gained when
+//    it is first listed counts too if the time of its start is known.
 //  - The tail latencies of all serving tasks are above fifty times their
 //    targets.
 // A run that progresses clears the state. On a VM without other active runs,
@@ -22,6 +23,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "beamhill/base/time.h"
@@ -61,6 +63,10 @@
  public:
   enum class Evidence : uint8_t { kNone, kCpuWithoutProgress, kTailLatencies };
 
+  // Records that a start of the run, from the beginning of its work, is sent to
+  // the runner.
+  void OnStartSent(const RunRef& run, TimePoint now);
+
   // Updates the state by a poll's answer. Answers may arrive in any order: one
   // to a poll sent before the newest one only counts as evidence of progress.
   void Observe(const StallPoll& poll);
@@ -89,6 +95,11 @@
     double cpu_to_last_rise = 0;
     double cpu_since_last_rise = 0;
     int gained_percent = 0;  // By all rises seen.
+    // From the start to the first listing, and what it gained in that time;
+    // zero if the start is not known.
+    Duration time_to_first_percent{};
+    int first_percent = 0;
+    int64_t highest_measurement = 0;
     // Since the last progress on the VM and with an unchanged pace,
     // underestimated.
     double cpu_without_progress = 0;
@@ -102,10 +113,10 @@
   // Sums over the runs that count as evidence of one poll.
   struct Sums {
     bool progress = false;
-    int active_runs = 0;
-    int runs = 0;        // Runs that use CPU and have progressed before.
-    double percent = 0;  // That these would have gained at their earlier cost.
-    Duration longest{};  // Time without progress of any of these.
+    int active_runs = 0;  // Runs that use CPU.
+    int runs = 0;         // Of these, the runs that have progressed before.
+    double percent = 0;   // That these would have gained at their earlier cost.
+    Duration longest{};   // Time without progress of any of these.
     int steady_samples = 0;
     int samples = 0;
     int high_samples = 0;          // Tails that exceed interference.
@@ -120,12 +131,20 @@
                   const Elapsed& elapsed, Sums& sums);
   static void ObserveServing(const StallRow& row, const StallPoll& poll,
                              const RunState& run, Sums& sums);
+  void ObserveFirstListing(const RunningRun& running, const StallPoll& poll,
+                           RunState& run) const;
   void ObserveCpu(const StallRow& row, bool settled, bool rose,
                   const Elapsed& elapsed, RunState& run, Sums& sums) const;
+  // How many percent the run would have gained by the CPU that it has used
+  // without progress; nullopt if nothing tells what a percent takes.
+  std::optional<double> LostPercent(const StallRow& row,
+                                    const RunState& run) const;
   void OnProgress();
   void UpdateEvidence(const Sums& sums, const StallPoll& poll,
                       const Elapsed& elapsed);
   void ForgetAbsentRuns(size_t listed);
+  // Forgets starts of which no poll has listed the run for a while.
+  void ForgetOldStarts(TimePoint now);
 
   Evidence evidence_ = Evidence::kNone;
   uint64_t polls_ = 0;  // Observed in the order in which they were sent.
@@ -142,6 +161,7 @@
   Duration tails_high_for_{};
   int polls_with_normal_tails_ = 0;
   std::map<RunRef, RunState> runs_;
+  std::map<RunRef, TimePoint> starts_sent_;  // Of runs not listed yet.
 };
 
 }  // namespace beamhill
--- a/beamhill/executor/stall_detector_test.cc
+++ b/beamhill/executor/stall_detector_test.cc
@@ -18,6 +18,9 @@
 constexpr milliseconds kStep{10};
 constexpr milliseconds kWait{250};
 constexpr Duration kTarget = milliseconds(50);
+// Workflows may be 4 s late, of which 0.4 s are for stops, 1 s for the next run
+// of the task and 0.1 s for its placement.
+constexpr Duration kMaxDetection = milliseconds(2500);
 
 class StallDetectorTest : public testing::Test {
  protected:
@@ -299,6 +302,69 @@
   EXPECT_FALSE(detector_.stalled());
 }
 
+// Guards against runners that stall between the start of their first runs and
+// the first poll that lists them: nothing told what a percent of their work
+// costs, so the stall was not detected.
+TEST_F(StallDetectorTest, StallBeforeTheFirstListingOfStartedRuns) {
+  for (const milliseconds before : {milliseconds(50), milliseconds(400)}) {
+    for (const milliseconds stalled : {milliseconds(0), milliseconds(500)}) {
+      detector_ = StallDetector();
+      runs_.clear();
+      for (int i = 0; i < 4; ++i) {
+        detector_.OnStartSent(Add(100, 500).listed.run, now_);
+      }
+      Work(before);
+      Work(stalled, 0);
+      EXPECT_LE(Poll(seconds(9), 0), kMaxDetection) << before.count();
+      EXPECT_EQ(detector_.evidence(), Evidence::kCpuWithoutProgress);
+    }
+  }
+}
+
+// What a resumed run is first listed with was gained by earlier runs.
+TEST_F(StallDetectorTest, ResumedRunsWithoutProgressAreNoStall) {
+  for (int i = 0; i < 4; ++i) Add(50, 500).percent = 60;
+  EXPECT_EQ(Poll(seconds(9), 0), seconds(9));
+}
+
+// Percentages stand still for up to 1.2 s on a healthy VM, and for six times
+// as long on a slow one.
+TEST_F(StallDetectorTest, LongTaskWithAKnownStartIsNoStall) {
+  for (const double slowdown : {1.0, 6.0}) {
+    for (const double percent_per_second : {0.1, 0.8, 5.0, 40.0}) {
+      for (const milliseconds before : {milliseconds(50), milliseconds(900)}) {
+        detector_ = StallDetector();
+        runs_.clear();
+        const SimulatedRun& run = Add(percent_per_second, 500);
+        detector_.OnStartSent(run.listed.run, now_);
+        Work(before);
+        for (int i = 0; i < 400 && run.percent < 99; ++i) {
+          Poll(kWait, 1 / slowdown);
+          ASSERT_FALSE(detector_.stalled()) << percent_per_second;
+        }
+      }
+    }
+  }
+}
+
+// A best-effort run begins at full pace and may be slowed down at once.
+TEST_F(StallDetectorTest, RunSlowedDownAfterItsStartIsNoStall) {
+  for (const milliseconds before : {milliseconds(50), milliseconds(400)}) {
+    detector_ = StallDetector();
+    runs_.clear();
+    SimulatedRun& run = Add(50, 2000);
+    detector_.OnStartSent(run.listed.run, now_);
+    Work(before);
+    run.cpu = 200;
+    run.percent_per_second = 5;
+    run.pace_ordered_at = now_;
+    for (int i = 0; i < 60 && run.percent < 99; ++i) {
+      Poll(kWait);
+      ASSERT_FALSE(detector_.stalled());
+    }
+  }
+}
+
 // One run that makes no progress may be at fault itself.
 TEST_F(StallDetectorTest, RunThatStandsStillBesideLongTasksIsNoStall) {
   for (int i = 0; i < 4; ++i) Add(0.4, 1000);
