Stalls: the owner bounds the CPU that a run without progress may use

What callers saw: workflows with tasks on a runner that stalls before its first runs begin waited until the stall ended. All runs there stay at zero percent, so nothing on the VM tells what a percent of their work costs.

Cause: only the executor looked for evidence, and only on its own VM. The owner knows more: the other tasks of the same step, on other VMs, are done.

Change: the owner finds runs that are overdue by the run times of their step (progress_bound, pure), and tells their executors how much CPU a percent may take (new message ProgressBounds). Before two tasks of the step are done it is ten times the estimate and 8 s at least, since estimates may be wrong by a factor of 100. Gangs and long-running tasks have no bound. The message is repeated each 5 s while the run lasts, since its link or executor may be lost; it is sent for overdue runs only.

--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -121,6 +121,31 @@
   }
 };
 
+// How much CPU time the run needs at most to gain a percent of progress, unless
+// its runner is stalled.
+struct RunProgressBound {
+  RunRef run;
+  Duration cpu_per_percent{};
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.run, s.cpu_per_percent);
+  }
+};
+
+// Owner to executor: bounds for runs that have lasted for longer than a percent
+// of their work may take. Repeated every few seconds while they run.
+struct ProgressBounds {
+  uint64_t epoch = 0;
+  std::string incarnation;
+  std::vector<RunProgressBound> runs;
+
+  template <typename S>
+  static auto Fields(S& s) {
+    return std::tie(s.epoch, s.incarnation, s.runs);
+  }
+};
+
 // Executor to owner, twice a second.
 struct VmHeartbeat {
   uint64_t epoch = 0;  // Highest epoch that the executor has seen.
@@ -429,7 +454,7 @@
                  CancelStored, NoticeAcknowledged, Question, Answer, HandOver,
                  RunTraitsList, VmInterference, InterferenceWeights,
                  OwnerAnnounced, RelayedSubmit, RelayedCancel, RelayedResult,
-                 PacePolicyNotice>;
+                 PacePolicyNotice, ProgressBounds>;
 
 // Stored record by which a VM's executor registers.
 struct VmRecord {
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -75,6 +75,7 @@
   held.amount = step.each;
   held.image = step.image;
   held.tail_target = step.tail_target;
+  held.long_running = step.long_running;
   if (step.best_effort) {
     std::swap(held.best_effort_cpu, held.amount.cpu_millis);
     const bool added = vm.best_effort.count(step.image) == 0;
--- a/beamhill/dispatch/dispatch_stalls.cc
+++ b/beamhill/dispatch/dispatch_stalls.cc
@@ -1,10 +1,12 @@
 // Dispatcher: keeps work off VMs whose runners answer calls while their tasks
 // make no progress, and finds out with single runs when they progress again.
 #include <algorithm>
+#include <map>
 #include <string>
 #include <utility>
 
 #include "beamhill/dispatch/dispatcher.h"
+#include "beamhill/dispatch/progress_bound.h"
 
 namespace beamhill {
 namespace {
@@ -15,6 +17,10 @@
 // VMs for each of them.
 constexpr Duration kMoveInterval = std::chrono::milliseconds(100);
 
+constexpr Duration kProgressBoundInterval = std::chrono::milliseconds(250);
+// An executor may have missed a bound: its link was lost, or it restarted.
+constexpr Duration kProgressBoundRepeat = std::chrono::seconds(5);
+
 // Whether the VM holds the run and has not been told to stop it.
 bool Keeps(const Vm& vm, const RunRef& run) {
   return vm.held.count(run) > 0 && !vm.stops.Has(run);
@@ -37,20 +43,41 @@
   }
 }
 
-size_t Dispatcher::CountStalled() const {
-  if (stalls_.empty()) return 0;
-  return static_cast<size_t>(
-      std::count_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
-        return entry.second.has_inventory && stalls_.Has(entry.first);
-      }));
+// Executors that detect no stalls ignore the bounds.
+void Dispatcher::SendProgressBounds(TimePoint now) {
+  if (now - progress_bounds_sent_at_ < kProgressBoundInterval) return;
+  progress_bounds_sent_at_ = now;
+  std::map<std::string, ProgressBounds> bounds;  // By VM.
+  for (const auto& [id, job] : jobs_) {
+    if (job->held_runs == 0 || job->progress.over()) continue;
+    for (const OverdueRun& overdue : FindOverdueRuns(job->progress, now)) {
+      const auto vm = vms_.find(overdue.vm);
+      if (vm == vms_.end() || !vm->second.has_inventory) continue;
+      const auto held = vm->second.held.find(overdue.run);
+      if (held == vm->second.held.end()) continue;
+      TimePoint& sent_at = held->second.progress_bound_sent_at;
+      if (now - sent_at < kProgressBoundRepeat) continue;
+      sent_at = now;
+      bounds[overdue.vm].runs.push_back({overdue.run, overdue.cpu_per_percent});
+    }
+  }
+  for (auto& [name, message] : bounds) {
+    message.epoch = options_.epoch;
+    message.incarnation = vms_[name].status.incarnation;
+    Send(name, std::move(message));
+  }
 }
 
 void Dispatcher::RefreshStalls(TimePoint now) {
+  SendProgressBounds(now);
   if (stalls_.empty() && !stalls_.too_many()) return;
-  const size_t stalled = CountStalled();
-  const auto answering = static_cast<size_t>(std::count_if(
-      vms_.begin(), vms_.end(),
-      [](const auto& entry) { return entry.second.has_inventory; }));
+  size_t stalled = 0;
+  size_t answering = 0;
+  for (const auto& [name, vm] : vms_) {
+    if (!vm.has_inventory) continue;
+    ++answering;
+    if (stalls_.Has(name)) ++stalled;
+  }
   if (stalls_.Compare(stalled, answering)) {
     LogDecision("", "vms_stalled",
                 std::to_string(stalled) + " of " + std::to_string(answering) +
@@ -79,20 +106,13 @@
   }
 }
 
-bool Dispatcher::IsLongRunning(const RunRef& run) const {
-  const auto job = jobs_.find(run.task.workflow);
-  if (job == jobs_.end()) return false;
-  const auto& steps = job->second->progress.workflow().steps;
-  return run.task.step < steps.size() && steps[run.task.step].long_running;
-}
-
 bool Dispatcher::MayProbeStall(const std::string& name, const Vm& vm,
                                const WorkflowStep& step, TimePoint now) const {
   if (!dispatch_internal::MayProbe(step) || !stalls_.ProbeIsDue(name, now)) {
     return false;
   }
-  return std::all_of(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
-    return IsLongRunning(entry.first);
+  return std::all_of(vm.held.begin(), vm.held.end(), [](const auto& entry) {
+    return entry.second.long_running;
   });
 }
 
@@ -102,7 +122,7 @@
                                    TimePoint now) {
   const auto probe = stalls_.ProbeOn(name);
   for (const auto& [run, held] : vm.held) {
-    if (vm.stops.Has(run) || IsLongRunning(run)) continue;
+    if (vm.stops.Has(run) || held.long_running) continue;
     if (probe && run == *probe) continue;
     Job* job = Find(run.task.workflow);
     if (job == nullptr || !MayStart(*job)) continue;
--- a/beamhill/dispatch/dispatch_stalls_test.cc
+++ b/beamhill/dispatch/dispatch_stalls_test.cc
@@ -136,6 +136,43 @@
   EXPECT_EQ(Tick().stops_with_repeats, 1U);  // Of the other member.
 }
 
+// Guards against a stall that begins before the runs do: only the owner can
+// tell the executor how long they may take.
+TEST_F(DispatcherStallsTest, ExecutorsAreToldOfOverdueRuns) {
+  ConnectVms(3);
+  const auto starts = Start(SingleStepWorkflow("a", 6, 2));
+  ASSERT_THAT(starts, SizeIs(6));
+  std::map<RunRef, std::string> told;  // The VM, by run.
+  const auto advance = [&](Duration time) {
+    AdvanceTime(time, vms_);
+    size_t messages = 0;
+    for (const VmMessage& out : dispatcher_->TakeMessages()) {
+      const auto* bounds = std::get_if<ProgressBounds>(&out.message);
+      if (bounds == nullptr) continue;
+      ++messages;
+      EXPECT_EQ(bounds->epoch, 2U);
+      EXPECT_EQ(bounds->incarnation, StatusOf(out.vm).incarnation);
+      for (const RunProgressBound& bound : bounds->runs) {
+        told[bound.run] = out.vm;
+        EXPECT_EQ(bound.cpu_per_percent, seconds(5));  // On two cores.
+      }
+    }
+    return messages;
+  };
+  EXPECT_EQ(advance(seconds(2)), 0U);
+  for (int i = 0; i < 4; ++i) {
+    const auto& [vm, run] = starts[i];
+    ReceiveEnd(vm, ++ends_[vm], run, RunEndKind::kDone);
+  }
+  EXPECT_EQ(advance(milliseconds(250)), 0U) << "others are not much faster";
+  EXPECT_EQ(advance(milliseconds(250)), 1U);
+  EXPECT_THAT(told, testing::UnorderedElementsAre(
+                        Pair(starts[4].second, starts[4].first),
+                        Pair(starts[5].second, starts[5].first)));
+  EXPECT_EQ(advance(milliseconds(4750)), 0U);
+  EXPECT_EQ(advance(milliseconds(250)), 1U) << "the first message may be lost";
+}
+
 TEST_F(DispatcherStallsTest, LongRunningTasksMoveAsTheirStepAllows) {
   for (const uint32_t max_unavailable : {0U, 2U}) {
     dispatcher_.reset();
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -56,6 +56,7 @@
     summary.best_effort_cpu_in_use +=
         std::min(vm.best_effort_cpu_in_use, vm.best_effort_cpu);
     summary.held_runs += vm.held.size();
+    if (stalls_.Has(name)) ++summary.stalled_vms;
   }
   for (const auto& [id, job] : jobs_) {
     if (job->progress.over()) continue;
@@ -68,7 +69,6 @@
     summary.inherited_wait_left = std::max(Duration(0), bound - now);
   }
   summary.suspects = suspects_.size();
-  summary.stalled_vms = CountStalled();
   summary.given_up = counts_.given_up;
   return summary;
 }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -327,10 +327,9 @@
 
   // In dispatch_stalls.cc.
   void UpdateStall(const std::string& name, const Vm& vm, TimePoint now);
-  size_t CountStalled() const;  // Of the VMs with an inventory.
   void RefreshStalls(TimePoint now);
+  void SendProgressBounds(TimePoint now);
   void CheckStallProbe(const std::string& name, const Vm& vm, TimePoint now);
-  bool IsLongRunning(const RunRef& run) const;
   // Whether a run of the step may start on the stalled VM as its probe.
   bool MayProbeStall(const std::string& name, const Vm& vm,
                      const WorkflowStep& step, TimePoint now) const;
@@ -469,6 +468,7 @@
   WorkerHealth health_;
   StalledVms stalls_;
   TimePoint stalled_moved_at_{};
+  TimePoint progress_bounds_sent_at_{};
   RunTimeEstimator run_times_;
   PacePolicySelector best_effort_load_;
   PairwiseInterference interference_;
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -102,10 +102,13 @@
   // Requested by a best-effort task, in millicores.
   int64_t best_effort_cpu = 0;
   std::string image;
-  Duration tail_target{};       // Positive for serving tasks.
+  Duration tail_target{};  // Positive for serving tasks.
+  bool long_running = false;
   double best_effort_rank = 0;  // As last sent to the executor.
   std::optional<TimePoint> starved_since;
   TimePoint since{};  // When it was ordered; zero for an adopted run.
+  // When the executor was last told how long a percent of it takes at most.
+  TimePoint progress_bound_sent_at{};
 };
 
 // The tasks of one serving image on a VM.
--- /dev/null
+++ b/beamhill/dispatch/progress_bound.cc
@@ -0,0 +1,73 @@
+#include "beamhill/dispatch/progress_bound.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace beamhill {
+namespace {
+
+// Tasks of a step differ by a factor of 7, VMs by one of 6: together they stay
+// below the 125 that this allows.
+constexpr double kRunsPerPercent = 1.25;
+// Away from the rack of its data a task takes up to three times as long, and
+// the measured ones may have been there.
+constexpr double kAwayFromDataFactor = 3;
+// Allows for the restoration of a checkpoint and for small tasks.
+constexpr Duration kMinTime = std::chrono::seconds(1);
+// Allows for an estimate that is wrong by a factor of 100 on a VM that is slow
+// by a factor of 6.
+constexpr double kEstimatesPerPercent = 10;
+constexpr Duration kMinTimeByEstimate = std::chrono::seconds(8);
+
+Duration Multiply(Duration time, double factor) {
+  return std::chrono::duration_cast<Duration>(time * factor);
+}
+
+void AppendOverdueRuns(const WorkflowProgress& progress, uint32_t round,
+                       uint32_t step, TimePoint now,
+                       std::vector<OverdueRun>& overdue) {
+  const auto max_time = MaxTimePerPercent(progress, step);
+  if (!max_time) return;
+  const Workflow& workflow = progress.workflow();
+  const int64_t cpu_millis = workflow.steps[step].each.cpu_millis;
+  const Duration cpu =
+      Multiply(*max_time, static_cast<double>(cpu_millis) / kMillicoresPerCore);
+  const auto& tasks = progress.TasksOf(round, step);
+  for (uint32_t i = 0; i < tasks.size(); ++i) {
+    const WorkflowProgress::Task& task = tasks[i];
+    if (task.phase != WorkflowProgress::Phase::kHeld) continue;
+    if (now - task.held_since < *max_time) continue;
+    overdue.push_back(
+        {{{workflow.id, round, step, i}, task.run}, task.vm, cpu});
+  }
+}
+
+}  // namespace
+
+std::optional<Duration> MaxTimePerPercent(const WorkflowProgress& progress,
+                                          uint32_t step) {
+  const WorkflowStep& spec = progress.workflow().steps[step];
+  if (spec.long_running || spec.gang) return std::nullopt;
+  if (const auto longest = progress.LongestMeasuredRun(step)) {
+    const double away = spec.preferred_rack.empty() ? 1 : kAwayFromDataFactor;
+    return std::max(Multiply(*longest, kRunsPerPercent * away), kMinTime);
+  }
+  const Duration expected = progress.ExpectedRun(step);
+  if (expected <= Duration(0)) return std::nullopt;
+  return std::max(Multiply(expected, kEstimatesPerPercent), kMinTimeByEstimate);
+}
+
+std::vector<OverdueRun> FindOverdueRuns(const WorkflowProgress& progress,
+                                        TimePoint now) {
+  std::vector<OverdueRun> overdue;
+  const Workflow& workflow = progress.workflow();
+  for (uint32_t round = 0; round < workflow.rounds(); ++round) {
+    for (uint32_t step = 0; step < workflow.steps.size(); ++step) {
+      if (progress.StepDone(round, step)) continue;
+      AppendOverdueRuns(progress, round, step, now, overdue);
+    }
+  }
+  return overdue;
+}
+
+}  // namespace beamhill
--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -202,6 +202,10 @@
     if (IsCurrent(link, traits->epoch, traits->incarnation)) {
       OnRunTraits(*traits);
     }
+  } else if (const auto* bounds = std::get_if<ProgressBounds>(&message)) {
+    if (IsCurrent(link, bounds->epoch, bounds->incarnation)) {
+      OnProgressBounds(*bounds);
+    }
   } else if (const auto* learned = std::get_if<InterferenceWeights>(&message)) {
     if (owner_link_ == link && learned->epoch == epoch_) OnWeights(*learned);
   } else if (const auto* policy = std::get_if<PacePolicyNotice>(&message)) {
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -261,6 +261,7 @@
   // that the next registration is accepted whichever incarnation it names.
   void NoteMismatch();
   void ReportEnds(const RunnerView& view);
+  void OnProgressBounds(const ProgressBounds& bounds);
   // Updates VmStatus::stalled by a poll's answer and sends each change.
   void UpdateStalled(const RunnerView& view, TimePoint sent_at, Duration wait,
                      TimePoint now);
--- a/beamhill/executor/executor_polling.cc
+++ b/beamhill/executor/executor_polling.cc
@@ -146,6 +146,14 @@
   }
 }
 
+void Executor::OnProgressBounds(const ProgressBounds& bounds) {
+  if (!options_.detect_stalls) return;
+  for (const RunProgressBound& bound : bounds.runs) {
+    stall_detector_.SetProgressBound(bound.run, bound.cpu_per_percent,
+                                     hooks_.now());
+  }
+}
+
 void Executor::UpdateStalled(const RunnerView& view, TimePoint sent_at,
                              Duration wait, TimePoint now) {
   StallPoll poll{sent_at, now, wait, now >= warm_at_, {}, &view.ended};
--- a/beamhill/executor/executor_stalls_test.cc
+++ b/beamhill/executor/executor_stalls_test.cc
@@ -112,6 +112,35 @@
   }
 }
 
+// Guards against a stall that begins before the runs do.
+TEST_F(ExecutorStallsTest, RunThatExceedsItsProgressBoundIsDetected) {
+  Register("incarnation-1");
+  Attach(1);
+  Start(kRun, 1);
+  AnswerAll(starts_);
+  const auto list_for = [&](Duration time) {
+    for (const TimePoint end = now_ + time; now_ < end;) {
+      AdvanceTime(milliseconds(200));
+      AnswerPoll({{kRun, 0, 2000}});
+    }
+  };
+  list_for(seconds(3));
+  EXPECT_FALSE(executor_->status().stalled);
+  EXPECT_THAT(logged_["runner_without_progress"], SizeIs(1));
+  EXPECT_GE(executor_->WithoutProgress(), seconds(2));
+  const std::vector<RunProgressBound> bounds = {{kRun, seconds(2)}};
+  for (const ProgressBounds& outdated :
+       {ProgressBounds{0, "incarnation-1", bounds},
+        ProgressBounds{1, "incarnation-0", bounds}}) {
+    executor_->OnMessage(kLink, outdated);
+  }
+  list_for(seconds(1));
+  EXPECT_FALSE(executor_->status().stalled);
+  executor_->OnMessage(kLink, ProgressBounds{1, "incarnation-1", bounds});
+  list_for(milliseconds(400));
+  EXPECT_TRUE(executor_->status().stalled);
+}
+
 // Registrations are renewed every second and don't tell of stalls.
 TEST_F(ExecutorStallsTest, RenewedRegistrationKeepsTheState) {
   StartRuns();
@@ -198,6 +227,8 @@
 // Other deployments must see no change.
 TEST_F(ExecutorWithoutStallsTest, NothingIsDetected) {
   StartRuns();
+  executor_->OnMessage(
+      kLink, ProgressBounds{1, "incarnation-1", {{kRun, milliseconds(1)}}});
   Stall();
   EXPECT_THAT(Sent<VmStatus>(), IsEmpty());
   EXPECT_THAT(Sent<VmInterference>(),
--- a/beamhill/executor/stall_detector.cc
+++ b/beamhill/executor/stall_detector.cc
@@ -27,8 +27,9 @@
 // Polls with normal tails that clear the state.
 constexpr int kMinNormalPolls = 2;
 constexpr int kDonePercent = 100;
-// A run that is not listed this long after its start was sent has not begun.
-constexpr Duration kStartRetention = std::chrono::seconds(10);
+// A run that is not listed this long after its start was sent, or after its
+// bound was set, has not begun or is over.
+constexpr Duration kUnlistedRetention = std::chrono::seconds(10);
 
 // The likely moment of the state that the answer shows. It is later if the
 // runner answered late, and earlier if it had an end to list and the answer was
@@ -96,7 +97,12 @@
   // Percentages are rounded down, so up to one percent of the gain may have
   // been made before it was first listed.
   const int gained = run.gained_percent + run.first_percent - 1;
-  if (gained < 1) return std::nullopt;
+  if (gained < 1) {
+    const auto bound = bounds_.find(row.running->run);
+    if (bound == bounds_.end()) return std::nullopt;
+    const double cpu = kMillicoresPerCore * ToMillis(bound->second.cpu_time);
+    return run.cpu_without_progress >= cpu ? kMinLostPercent : 0;
+  }
   // No poll has measured the CPU use before the first listing, and the run may
   // have been paced since.
   const auto first_use =
@@ -212,7 +218,12 @@
 void StallDetector::ForgetAbsentRuns(size_t listed) {
   if (runs_.size() == listed) return;
   for (auto it = runs_.begin(); it != runs_.end();) {
-    it = it->second.poll == polls_ ? std::next(it) : runs_.erase(it);
+    if (it->second.poll == polls_) {
+      ++it;
+      continue;
+    }
+    bounds_.erase(it->first);
+    it = runs_.erase(it);
   }
 }
 
@@ -220,11 +231,21 @@
   starts_sent_[run] = now;
 }
 
-void StallDetector::ForgetOldStarts(TimePoint now) {
+void StallDetector::SetProgressBound(const RunRef& run, Duration cpu_time,
+                                     TimePoint now) {
+  bounds_[run] = {cpu_time, now};
+}
+
+void StallDetector::ForgetUnlistedRuns(TimePoint now) {
   for (auto it = starts_sent_.begin(); it != starts_sent_.end();) {
-    const bool old = now - it->second >= kStartRetention;
+    const bool old = now - it->second >= kUnlistedRetention;
     it = old ? starts_sent_.erase(it) : std::next(it);
   }
+  for (auto it = bounds_.begin(); it != bounds_.end();) {
+    const bool old = now - it->second.set_at >= kUnlistedRetention;
+    const bool listed = runs_.count(it->first) > 0;
+    it = old && !listed ? bounds_.erase(it) : std::next(it);
+  }
 }
 
 void StallDetector::Observe(const StallPoll& poll) {
@@ -253,7 +274,7 @@
   answered_at_ = poll.answered_at;
   for (const StallRow& row : poll.rows) ObserveRun(row, poll, elapsed, sums);
   ForgetAbsentRuns(poll.rows.size());
-  ForgetOldStarts(poll.answered_at);
+  ForgetUnlistedRuns(poll.answered_at);
   UpdateEvidence(sums, poll, elapsed);
 }
 
--- a/beamhill/executor/stall_detector.h
+++ b/beamhill/executor/stall_detector.h
@@ -5,7 +5,9 @@
 // on the VM progressed:
 //  - Runs use CPU without progress. Together they have used several times the
 //    CPU that a percent of their work took before. What a run has gained when
-//    it is first listed counts too if the time of its start is known.
+//    it is first listed counts too if the time of its start is known. For a run
+//    that has not progressed yet, a bound that the owner knows takes the place
+//    of that.
 //  - The tail latencies of all serving tasks are above fifty times their
 //    targets.
 // A run that progresses clears the state. On a VM without other active runs,
@@ -66,6 +68,9 @@
   // Records that a start of the run, from the beginning of its work, is sent to
   // the runner.
   void OnStartSent(const RunRef& run, TimePoint now);
+  // Sets the CPU time in which the run gains a percent unless the runner is
+  // stalled. Used while the run has not progressed.
+  void SetProgressBound(const RunRef& run, Duration cpu_time, TimePoint now);
 
   // Updates the state by a poll's answer. Answers may arrive in any order: one
   // to a poll sent before the newest one only counts as evidence of progress.
@@ -105,6 +110,10 @@
     double cpu_without_progress = 0;
     Duration time_without_progress{};
   };
+  struct ProgressBound {
+    Duration cpu_time{};
+    TimePoint set_at{};
+  };
   // Bounds of the time between the states that two polls show.
   struct Elapsed {
     Duration at_least{};
@@ -114,8 +123,8 @@
   struct Sums {
     bool progress = false;
     int active_runs = 0;  // Runs that use CPU.
-    int runs = 0;         // Of these, the runs that have progressed before.
-    double percent = 0;   // That these would have gained at their earlier cost.
+    int runs = 0;         // Of these, runs whose cost of a percent is known.
+    double percent = 0;   // That these would have gained at that cost.
     Duration longest{};   // Time without progress of any of these.
     int steady_samples = 0;
     int samples = 0;
@@ -143,8 +152,8 @@
   void UpdateEvidence(const Sums& sums, const StallPoll& poll,
                       const Elapsed& elapsed);
   void ForgetAbsentRuns(size_t listed);
-  // Forgets starts of which no poll has listed the run for a while.
-  void ForgetOldStarts(TimePoint now);
+  // Forgets starts and bounds of runs that are not listed in time.
+  void ForgetUnlistedRuns(TimePoint now);
 
   Evidence evidence_ = Evidence::kNone;
   uint64_t polls_ = 0;  // Observed in the order in which they were sent.
@@ -162,6 +171,7 @@
   int polls_with_normal_tails_ = 0;
   std::map<RunRef, RunState> runs_;
   std::map<RunRef, TimePoint> starts_sent_;  // Of runs not listed yet.
+  std::map<RunRef, ProgressBound> bounds_;
 };
 
 }  // namespace beamhill
--- a/beamhill/executor/stall_detector_test.cc
+++ b/beamhill/executor/stall_detector_test.cc
@@ -321,6 +321,40 @@
   }
 }
 
+// Guards against runners that stall before their runs begin: all of them stay
+// at zero, and nothing on the VM tells what a percent costs.
+TEST_F(StallDetectorTest, RunsThatExceedTheirProgressBound) {
+  for (int i = 0; i < 4; ++i) Add(100, 500);
+  EXPECT_EQ(Poll(milliseconds(1500), 0), milliseconds(1500));
+  for (const SimulatedRun& run : runs_) {
+    detector_.SetProgressBound(run.listed.run, milliseconds(600), now_);
+  }
+  Add(100, 500);  // Its bound is not known yet.
+  EXPECT_LE(Poll(seconds(9), 0), milliseconds(500));
+  EXPECT_EQ(detector_.evidence(), Evidence::kCpuWithoutProgress);
+  EXPECT_LE(Poll(seconds(9)), kWait);
+}
+
+TEST_F(StallDetectorTest, ProgressWithinTheBoundIsNoStall) {
+  for (const double percent_per_second : {0.9, 5.0}) {
+    detector_ = StallDetector();
+    runs_.clear();
+    const SimulatedRun& run = Add(percent_per_second, 500);
+    for (int i = 0; i < 400 && run.percent < 99; ++i) {
+      detector_.SetProgressBound(run.listed.run, milliseconds(600), now_);
+      Poll(kWait);
+      ASSERT_FALSE(detector_.stalled()) << percent_per_second;
+    }
+  }
+}
+
+// The bound is exceeded in CPU time, not in time.
+TEST_F(StallDetectorTest, RunWithoutCpuIsNoStall) {
+  const SimulatedRun& run = Add(0, 10);
+  detector_.SetProgressBound(run.listed.run, milliseconds(600), now_);
+  EXPECT_EQ(Poll(seconds(30)), seconds(30));
+}
+
 // What a resumed run is first listed with was gained by earlier runs.
 TEST_F(StallDetectorTest, ResumedRunsWithoutProgressAreNoStall) {
   for (int i = 0; i < 4; ++i) Add(50, 500).percent = 60;
--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -173,6 +173,13 @@
                                               measured.shortest);
 }
 
+std::optional<Duration> WorkflowProgress::LongestMeasuredRun(
+    uint32_t step) const {
+  const DurationStats& measured = measured_[step];
+  if (measured.runs < kMinMeasuredRuns) return std::nullopt;
+  return measured.longest;
+}
+
 Duration WorkflowProgress::ExpectedRun(uint32_t step) const {
   return MeasuredRun(step).value_or(expected_[step]);
 }
@@ -184,6 +191,7 @@
   DurationStats& measured = measured_[ref.step];
   measured.shortest =
       measured.runs == 0 ? ran : std::min(measured.shortest, ran);
+  measured.longest = std::max(measured.longest, ran);
   ++measured.runs;
 }
 
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -139,6 +139,9 @@
   // shortest measurable run since others may have been throttled; nullopt
   // before there are enough runs.
   std::optional<Duration> MeasuredRun(uint32_t step) const;
+  // Returns the longest measurable run of the step's tasks; nullopt before
+  // there are enough runs.
+  std::optional<Duration> LongestMeasuredRun(uint32_t step) const;
   // Returns the expected duration of the round's critical path over steps that
   // aren't done. A running task counts with its remaining time.
   Duration RemainingCriticalPath(uint32_t round, TimePoint now) const;
@@ -202,6 +205,7 @@
   struct DurationStats {
     int runs = 0;
     Duration shortest{};
+    Duration longest{};
   };
   std::vector<Duration> expected_;       // By step, over all rounds.
   std::vector<DurationStats> measured_;  // By step, over all rounds.
