Stalls: reliable expectations bound a percent where no other task tells

What callers saw: workflows whose tasks all run on one VM that stalls before they begin waited until the stall ended (5.3 and 6.0 s late at 6 s; not done after 9 s at 30 s). Small workflows are packed on one VM, so no task of the step is done elsewhere, and the bound by the estimate allows ten times it and 8 s at least.

Change: a queue whose expected run times were right within a factor of 10 (mean plus three standard deviations of the logarithmic errors, three steps at least) bounds a percent by 1.5 expected runs: enough for an error of 10 on a VM that is slow by a factor of 6, or of 100 elsewhere. Each move of a task for lack of progress multiplies the bounds of its step by 8, so tasks that are longer than all that do not move again and again. Normal tail latencies of serving tasks refute exceeded bounds, since bounds rest on expectations and tails are measured.

Not covered: a task that takes 100 times what a reliable queue lets expect, on a VM that is slow by more than 1.5 besides, is moved once, with less than a percent of its work done.

--- a/beamhill/dispatch/dispatch_stalls.cc
+++ b/beamhill/dispatch/dispatch_stalls.cc
@@ -50,7 +50,9 @@
   std::map<std::string, ProgressBounds> bounds;  // By VM.
   for (const auto& [id, job] : jobs_) {
     if (job->held_runs == 0 || job->progress.over()) continue;
-    for (const OverdueRun& overdue : FindOverdueRuns(job->progress, now)) {
+    const bool reliable = run_times_.IsReliable(job->progress.workflow().queue);
+    for (const OverdueRun& overdue :
+         FindOverdueRuns(job->progress, reliable, now)) {
       const auto vm = vms_.find(overdue.vm);
       if (vm == vms_.end() || !vm->second.has_inventory) continue;
       const auto held = vm->second.held.find(overdue.run);
@@ -126,6 +128,7 @@
     if (probe && run == *probe) continue;
     Job* job = Find(run.task.workflow);
     if (job == nullptr || !MayStart(*job)) continue;
+    ++job->progress.At(run.task).stall_moves;
     MigrateRun(name, vm, *job, run, "no progress there", now);
   }
 }
--- a/beamhill/dispatch/progress_bound.h
+++ b/beamhill/dispatch/progress_bound.h
@@ -8,7 +8,7 @@
 //
 // Reads no clock and does no I/O.
 //
-//   for (const OverdueRun& run : FindOverdueRuns(progress, now)) {
+//   for (const OverdueRun& run : FindOverdueRuns(progress, reliable, now)) {
 //     messages[run.vm].runs.push_back({run.run, run.cpu_per_percent});
 //   }
 #ifndef BEAMHILL_DISPATCH_PROGRESS_BOUND_H_
@@ -26,12 +26,13 @@
 
 // Returns the time within which a healthy VM gains a percent of a task of the
 // step, running at the requested CPU. This is a whole run of the slowest other
-// task of the step. Before two of them are done, it is a multiple of the
-// estimate, which may be wrong by a factor of 100. Returns nullopt if there is
-// no estimate, for long-running tasks, and for gangs, whose members wait for
-// each other.
+// task of the step. Before two of them are done, it follows from the expected
+// run time, which may be wrong by a factor of 100, or by one of 10 if it is
+// reliable. It grows each time that a task of the step was moved because of it.
+// Returns nullopt if no run time is expected, for long-running tasks, and for
+// gangs, whose members wait for each other.
 std::optional<Duration> MaxTimePerPercent(const WorkflowProgress& progress,
-                                          uint32_t step);
+                                          uint32_t step, bool reliable);
 
 // A run that has lasted for longer than a percent of its work may take.
 struct OverdueRun {
@@ -41,8 +42,9 @@
 };
 
 // Returns the overdue runs of the workflow, by round, step and index.
+// `reliable`: whether expected run times are, see RunTimeEstimator::IsReliable.
 std::vector<OverdueRun> FindOverdueRuns(const WorkflowProgress& progress,
-                                        TimePoint now);
+                                        bool reliable, TimePoint now);
 
 }  // namespace beamhill
 
--- a/beamhill/dispatch/progress_bound_test.cc
+++ b/beamhill/dispatch/progress_bound_test.cc
@@ -35,9 +35,14 @@
                        kBegin + after);
   }
   std::vector<OverdueRun> Overdue(Duration after) {
-    return FindOverdueRuns(*progress_, kBegin + after);
+    return FindOverdueRuns(*progress_, reliable_, kBegin + after);
   }
 
+  std::optional<Duration> MaxTime() {
+    return MaxTimePerPercent(*progress_, 0, reliable_);
+  }
+
+  bool reliable_ = false;
   std::optional<WorkflowProgress> progress_;
 };
 
@@ -54,7 +59,7 @@
   EXPECT_EQ(overdue[0].run, (RunRef{{"w", 0, 0, 2}, 1}));
   EXPECT_EQ(overdue[0].vm, "vm-1");
   EXPECT_EQ(overdue[0].cpu_per_percent, milliseconds(2500));
-  EXPECT_GE(ToMillis(*MaxTimePerPercent(*progress_, 0)), 4000 * 7 * 6 / 100);
+  EXPECT_GE(ToMillis(*MaxTime()), 4000 * 7 * 6 / 100);
 }
 
 // Restoring a checkpoint takes longer than a short task.
@@ -62,7 +67,7 @@
   StartAll(MakeWorkflow(3, seconds(1)));
   End(0, milliseconds(100));
   End(1, milliseconds(100));
-  EXPECT_EQ(MaxTimePerPercent(*progress_, 0), seconds(1));
+  EXPECT_EQ(MaxTime(), seconds(1));
 }
 
 TEST_F(ProgressBoundTest, TasksAwayFromTheirDataMayBeSlow) {
@@ -71,7 +76,7 @@
   StartAll(workflow);
   End(0, seconds(2));
   End(1, seconds(2));
-  EXPECT_EQ(MaxTimePerPercent(*progress_, 0), milliseconds(7500));
+  EXPECT_EQ(MaxTime(), milliseconds(7500));
 }
 
 // A percent of a task that takes 100 times its estimate takes as long as was
@@ -82,19 +87,41 @@
     const Workflow workflow = MakeWorkflow(1, declared);
     StartAll(workflow);
     const Duration percent = 100 * declared / 100;
-    EXPECT_GT(ToMillis(*MaxTimePerPercent(*progress_, 0)),
-              ToMillis(6 * percent));
-    EXPECT_GE(ToMillis(*MaxTimePerPercent(*progress_, 0)), 8000);
+    EXPECT_GT(ToMillis(*MaxTime()), ToMillis(6 * percent));
+    EXPECT_GE(ToMillis(*MaxTime()), 8000);
+  }
+}
+
+// Guards against a stall that holds all tasks of a step, so that none of them
+// is done elsewhere.
+TEST_F(ProgressBoundTest, ReliableExpectationsBoundAPercentSooner) {
+  reliable_ = true;
+  StartAll(MakeWorkflow(1, seconds(1)));
+  EXPECT_EQ(MaxTime(), milliseconds(1500));
+  StartAll(MakeWorkflow(1, milliseconds(10)));
+  EXPECT_EQ(MaxTime(), seconds(1));
+}
+
+// Otherwise tasks that are far longer than expected would move again and again.
+TEST_F(ProgressBoundTest, BoundGrowsWithEachMove) {
+  for (reliable_ = true;; reliable_ = false) {
+    StartAll(MakeWorkflow(2, seconds(2)));
+    const Duration first = *MaxTime();
+    progress_->At({"w", 0, 0, 1}).stall_moves = 1;
+    EXPECT_EQ(*MaxTime(), 8 * first);
+    progress_->At({"w", 0, 0, 1}).stall_moves = 9;
+    EXPECT_EQ(*MaxTime(), 512 * first);
+    if (!reliable_) break;
   }
 }
 
 TEST_F(ProgressBoundTest, NothingIsKnownOfThese) {
   StartAll(MakeWorkflow(1, Duration(0)));
-  EXPECT_EQ(MaxTimePerPercent(*progress_, 0), std::nullopt);
+  EXPECT_EQ(MaxTime(), std::nullopt);
   Workflow workflow = MakeWorkflow(2, seconds(1));
   workflow.steps[0].gang = true;
   StartAll(workflow);
-  EXPECT_EQ(MaxTimePerPercent(*progress_, 0), std::nullopt);
+  EXPECT_EQ(MaxTime(), std::nullopt);
   workflow.steps[0].gang = false;
   workflow.steps[0].long_running = true;
   StartAll(workflow);
--- a/beamhill/dispatch/run_time_estimator.cc
+++ b/beamhill/dispatch/run_time_estimator.cc
@@ -9,6 +9,11 @@
 
 // Observations of a queue before they affect estimates.
 constexpr int kMinSteps = 8;
+// Observations of a queue before its expectations can count as reliable, and
+// the factor by which these may then be wrong.
+constexpr int kMinStepsForReliability = 3;
+constexpr double kReliableFactor = 10;
+constexpr double kDeviations = 3;
 // Weight of a new observation once there are many: about the last 40 count,
 // which arrive within half a minute.
 constexpr double kMinWeight = 0.025;
@@ -38,6 +43,16 @@
   known.log_error.Add(LogSeconds(declared) - LogSeconds(measured), weight);
 }
 
+bool RunTimeEstimator::IsReliable(const std::string& queue) const {
+  const auto it = queues_.find(queue);
+  if (it == queues_.end() || it->second.steps < kMinStepsForReliability) {
+    return false;
+  }
+  const Distribution& error = it->second.log_error;
+  return std::abs(error.mean) + kDeviations * std::sqrt(error.variance) <=
+         std::log(kReliableFactor);
+}
+
 Duration RunTimeEstimator::Expect(const std::string& queue,
                                   Duration declared) const {
   const auto it = queues_.find(queue);
--- a/beamhill/dispatch/run_time_estimator.h
+++ b/beamhill/dispatch/run_time_estimator.h
@@ -31,6 +31,10 @@
   // Returns the expected run time of a task of the queue. This is `declared`
   // itself if it is zero or the queue has too few observations.
   Duration Expect(const std::string& queue, Duration declared) const;
+  // Whether expectations for the queue are right within a factor of 10, as far
+  // as its finished steps tell: the mean of the errors plus three standard
+  // deviations is below that. False before there are enough steps.
+  bool IsReliable(const std::string& queue) const;
 
  private:
   // Exponentially weighted mean and variance.
--- a/beamhill/dispatch/run_time_estimator_test.cc
+++ b/beamhill/dispatch/run_time_estimator_test.cc
@@ -29,6 +29,22 @@
   EXPECT_EQ(estimator.Expect("other", milliseconds(1000)), milliseconds(1000));
 }
 
+TEST(RunTimeEstimatorTest, QueueIsReliableOnceItsDeclarationsWereRight) {
+  RunTimeEstimator estimator;
+  EXPECT_FALSE(estimator.IsReliable("q"));
+  estimator.Observe("q", milliseconds(1000), milliseconds(500));
+  estimator.Observe("q", milliseconds(1000), milliseconds(1500));
+  EXPECT_FALSE(estimator.IsReliable("q"));
+  estimator.Observe("q", milliseconds(1000), milliseconds(1000));
+  EXPECT_TRUE(estimator.IsReliable("q"));
+  estimator.Observe("q", milliseconds(1000), milliseconds(100000));
+  EXPECT_FALSE(estimator.IsReliable("q"));
+  for (int i = 0; i < 4; ++i) {
+    estimator.Observe("late", milliseconds(1000), milliseconds(20000));
+  }
+  EXPECT_FALSE(estimator.IsReliable("late"));
+}
+
 // As in the users' workloads: run times vary by half, and declared times are
 // off by half.
 TEST(RunTimeEstimatorTest, EstimatesAreCloserThanInaccurateDeclarations) {
--- a/beamhill/executor/stall_detector.cc
+++ b/beamhill/executor/stall_detector.cc
@@ -93,16 +93,11 @@
 }
 
 std::optional<double> StallDetector::LostPercent(const StallRow& row,
-                                                 const RunState& run) const {
+                                                 const RunState& run) {
   // Percentages are rounded down, so up to one percent of the gain may have
   // been made before it was first listed.
   const int gained = run.gained_percent + run.first_percent - 1;
-  if (gained < 1) {
-    const auto bound = bounds_.find(row.running->run);
-    if (bound == bounds_.end()) return std::nullopt;
-    const double cpu = kMillicoresPerCore * ToMillis(bound->second.cpu_time);
-    return run.cpu_without_progress >= cpu ? kMinLostPercent : 0;
-  }
+  if (gained < 1) return std::nullopt;
   // No poll has measured the CPU use before the first listing, and the run may
   // have been paced since.
   const auto first_use =
@@ -112,6 +107,14 @@
   return used > 0 ? run.cpu_without_progress * gained / used : 0;
 }
 
+std::optional<bool> StallDetector::ExceedsBound(const RunRef& ref,
+                                                const RunState& run) const {
+  const auto bound = bounds_.find(ref);
+  if (bound == bounds_.end()) return std::nullopt;
+  const double cpu = kMillicoresPerCore * ToMillis(bound->second.cpu_time);
+  return run.cpu_without_progress >= cpu;
+}
+
 void StallDetector::ObserveCpu(const StallRow& row, bool settled, bool rose,
                                const Elapsed& elapsed, RunState& run,
                                Sums& sums) const {
@@ -129,10 +132,15 @@
       use > 0 && use * kDonePercent > row.cpu_millis * kActiveUsePercent;
   if (active) ++sums.active_runs;
   if (!active || row.running->percent >= kDonePercent) return;
-  const std::optional<double> lost = LostPercent(row, run);
-  if (!lost) return;
+  if (const std::optional<double> lost = LostPercent(row, run)) {
+    sums.percent += std::min(*lost, kMaxLostPercent);
+  } else if (const auto exceeds = ExceedsBound(row.running->run, run)) {
+    ++sums.bounded_runs;
+    if (*exceeds) sums.percent += kMinLostPercent;
+  } else {
+    return;
+  }
   ++sums.runs;
-  sums.percent += std::min(*lost, kMaxLostPercent);
   sums.longest = std::max(sums.longest, run.time_without_progress);
 }
 
@@ -199,8 +207,8 @@
   tails_high_for_ =
       high && tails_high_ ? tails_high_for_ + elapsed.at_least : Duration(0);
   tails_high_ = high;
+  const bool normal = sums.samples > 0 && sums.high_samples == 0;
   if (stalled()) {
-    const bool normal = sums.samples > 0 && sums.high_samples == 0;
     polls_with_normal_tails_ =
         normal && !sums.may_progress ? polls_with_normal_tails_ + 1 : 0;
     if (polls_with_normal_tails_ >= kMinNormalPolls) OnProgress();
@@ -209,6 +217,8 @@
   if (polls_without_progress_ < kMinPolls) return;
   if (tails_high_for_ >= kMinStall) {
     evidence_ = Evidence::kTailLatencies;
+  } else if (sums.bounded_runs > 0 && normal) {
+    return;  // What is expected of runs may be wrong.
   } else if (sums.runs > 0 && sums.longest >= kMinStall &&
              sums.percent >= kMinLostPercent * sums.runs) {
     evidence_ = Evidence::kCpuWithoutProgress;
--- a/beamhill/executor/stall_detector.h
+++ b/beamhill/executor/stall_detector.h
@@ -7,7 +7,7 @@
 //    CPU that a percent of their work took before. What a run has gained when
 //    it is first listed counts too if the time of its start is known. For a run
 //    that has not progressed yet, a bound that the owner knows takes the place
-//    of that.
+//    of that, unless serving tasks on the VM have normal tail latencies.
 //  - The tail latencies of all serving tasks are above fifty times their
 //    targets.
 // A run that progresses clears the state. On a VM without other active runs,
@@ -122,10 +122,11 @@
   // Sums over the runs that count as evidence of one poll.
   struct Sums {
     bool progress = false;
-    int active_runs = 0;  // Runs that use CPU.
-    int runs = 0;         // Of these, runs whose cost of a percent is known.
-    double percent = 0;   // That these would have gained at that cost.
-    Duration longest{};   // Time without progress of any of these.
+    int active_runs = 0;   // Runs that use CPU.
+    int runs = 0;          // Of these, runs whose cost of a percent is known.
+    double percent = 0;    // That these would have gained at that cost.
+    int bounded_runs = 0;  // Of these, runs that only a bound is known for.
+    Duration longest{};    // Time without progress of any of these.
     int steady_samples = 0;
     int samples = 0;
     int high_samples = 0;          // Tails that exceed interference.
@@ -145,9 +146,13 @@
   void ObserveCpu(const StallRow& row, bool settled, bool rose,
                   const Elapsed& elapsed, RunState& run, Sums& sums) const;
   // How many percent the run would have gained by the CPU that it has used
-  // without progress; nullopt if nothing tells what a percent takes.
-  std::optional<double> LostPercent(const StallRow& row,
-                                    const RunState& run) const;
+  // without progress; nullopt if it has not progressed yet.
+  static std::optional<double> LostPercent(const StallRow& row,
+                                           const RunState& run);
+  // Whether the run has used more CPU without progress than its bound allows;
+  // nullopt if there is no bound.
+  std::optional<bool> ExceedsBound(const RunRef& ref,
+                                   const RunState& run) const;
   void OnProgress();
   void UpdateEvidence(const Sums& sums, const StallPoll& poll,
                       const Elapsed& elapsed);
--- a/beamhill/executor/stall_detector_test.cc
+++ b/beamhill/executor/stall_detector_test.cc
@@ -348,6 +348,16 @@
   }
 }
 
+// Bounds rest on expectations, which may be wrong; tail latencies are measured.
+TEST_F(StallDetectorTest, NormalTailsRefuteExceededBounds) {
+  AddServing(25);
+  const SimulatedRun& run = Add(0.01, 500);
+  detector_.SetProgressBound(run.listed.run, milliseconds(600), now_);
+  EXPECT_EQ(Poll(seconds(9)), seconds(9));
+  SetTails(27000);
+  EXPECT_LE(Poll(seconds(9)), milliseconds(750));
+}
+
 // The bound is exceeded in CPU time, not in time.
 TEST_F(StallDetectorTest, RunWithoutCpuIsNoStall) {
   const SimulatedRun& run = Add(0, 10);
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -99,6 +99,8 @@
     std::string vm;                     // The VM that holds the task.
     std::string avoid_vm;  // The VM on which it failed or starved last.
     std::string checkpoint;
+    // Number of runs that were stopped because their VM was stalled.
+    uint32_t stall_moves = 0;
     TimePoint held_since{};
     // The end of the last run; nullopt before the first one.
     std::optional<TimePoint> last_run_ended_at;
