Stall detector: tails of tasks that start up show no progress

What callers saw: on a stalled VM with serving tasks that had just been placed there, the stall was taken as over 0.2 to 0.5 s after it was detected, for as long as it lasted. The owner used the VM again.

Cause: two polls with normal tail latencies clear the state when nothing else can progress. A serving task lists a latency of about 1,000 ms while it starts up. That is below fifty times its target, so it counted as normal; in a stall its start-up does not end. For the same reason such a task refuted exceeded bounds.

Change: only tasks that have begun to serve show normal latencies.

Both new tests fail without the change.

--- a/beamhill/executor/stall_detector.cc
+++ b/beamhill/executor/stall_detector.cc
@@ -72,10 +72,10 @@
   const bool high = ExceedsInterference(
       {"", std::chrono::milliseconds(row.running->measurement),
        row.tail_target});
-  ++sums.samples;
   if (high) ++sums.high_samples;
   // A task that has not begun to serve may have a long tail without a stall.
   if (row.running->percent < kDonePercent) return;
+  ++sums.serving;
   sums.all_samples_high = sums.all_samples_high && high;
   if (run.serving_since + kMeasurementDelay <= poll.sent_at) {
     ++sums.steady_samples;
@@ -119,6 +119,8 @@
                                const Elapsed& elapsed, RunState& run,
                                Sums& sums) const {
   const int64_t use = row.running->measurement;
+  // CPU use is measured over half a second, so it may be of the time before a
+  // change of the pace.
   if (!settled || rose) {
     run.cpu_without_progress = 0;
     run.time_without_progress = Duration(0);
@@ -161,6 +163,10 @@
   }
   const bool rose = NotePercent(run, running.percent);
   sums.progress = sums.progress || rose;
+  if (rose) {
+    run.cpu_without_progress = 0;
+    run.time_without_progress = Duration(0);
+  }
   if (row.tail_target > Duration(0)) {
     if (running.percent >= kDonePercent) {
       run.serving_since = std::min(run.serving_since, poll.answered_at);
@@ -207,7 +213,7 @@
   tails_high_for_ =
       high && tails_high_ ? tails_high_for_ + elapsed.at_least : Duration(0);
   tails_high_ = high;
-  const bool normal = sums.samples > 0 && sums.high_samples == 0;
+  const bool normal = sums.serving > 0 && sums.high_samples == 0;
   if (stalled()) {
     polls_with_normal_tails_ =
         normal && !sums.may_progress ? polls_with_normal_tails_ + 1 : 0;
--- a/beamhill/executor/stall_detector.h
+++ b/beamhill/executor/stall_detector.h
@@ -1,8 +1,8 @@
 // Detects that the tasks of a runner make no progress although the runner
 // answers calls, from the answers to polls alone.
 //
-// Two kinds of evidence lead to it, each over at least 500 ms in which nothing
-// on the VM progressed:
+// Two kinds of evidence lead to it, each over at least 500 ms in which
+// nothing on the VM progressed:
 //  - Runs use CPU without progress. Together they have used several times the
 //    CPU that a percent of their work took before. What a run has gained when
 //    it is first listed counts too if the time of its start is known. For a run
@@ -127,8 +127,8 @@
     double percent = 0;    // That these would have gained at that cost.
     int bounded_runs = 0;  // Of these, runs that only a bound is known for.
     Duration longest{};    // Time without progress of any of these.
+    int serving = 0;       // Tasks that have begun to serve.
     int steady_samples = 0;
-    int samples = 0;
     int high_samples = 0;          // Tails that exceed interference.
     bool all_samples_high = true;  // Of tasks that have begun to serve.
     bool may_progress = false;     // Some run does not serve and is not paused.
--- a/beamhill/executor/stall_detector_test.cc
+++ b/beamhill/executor/stall_detector_test.cc
@@ -358,6 +358,26 @@
   EXPECT_LE(Poll(seconds(9)), milliseconds(750));
 }
 
+// Guards against stalls that were taken as over within half a second: a task in
+// its start-up does not serve, and its tail is below a stall's.
+TEST_F(StallDetectorTest, TailsOfStartUpsShowNoProgress) {
+  AddBestEffortRuns();
+  Poll(seconds(1));
+  AddServing(1000, 0);  // Begin during the stall.
+  AddServing(1000, 0);
+  Poll(seconds(2), 0);
+  ASSERT_TRUE(detector_.stalled());
+  while (runs_.size() > 2) runs_.pop_front();  // The owner moves the others.
+  EXPECT_EQ(Poll(seconds(9), 0), seconds(9));
+}
+
+TEST_F(StallDetectorTest, TailsOfStartUpsRefuteNoBound) {
+  AddServing(1000, 0);
+  const SimulatedRun& run = Add(0, 500);
+  detector_.SetProgressBound(run.listed.run, milliseconds(600), now_);
+  EXPECT_LE(Poll(seconds(9)), milliseconds(2000));
+}
+
 // The bound is exceeded in CPU time, not in time.
 TEST_F(StallDetectorTest, RunWithoutCpuIsNoStall) {
   const SimulatedRun& run = Add(0, 10);
