Stall detector: changes of pace keep earlier evidence

What callers saw: best-effort workflows waited on stalled VMs that also run serving tasks, until the stalls ended.

Cause: tail latencies rise in a stall, so the executor slows its best-effort runs down, step by step. Each change of a run's pace discarded the CPU that it had used without progress, and evidence needs half a second of it. The CPU use just after a change must not count, as it is measured over half a second; what was used before remains true.

ChangesOfPaceKeepEarlierEvidence fails without it; PausedRunsAreNoStall and RunSlowedDownAfterItsStartIsNoStall pass as before.

--- a/beamhill/executor/stall_detector.cc
+++ b/beamhill/executor/stall_detector.cc
@@ -121,11 +121,7 @@
   const int64_t use = row.running->measurement;
   // CPU use is measured over half a second, so it may be of the time before a
   // change of the pace.
-  if (!settled || rose) {
-    run.cpu_without_progress = 0;
-    run.time_without_progress = Duration(0);
-    return;
-  }
+  if (!settled || rose) return;
   run.cpu_without_progress +=
       static_cast<double>(std::min(run.measurement, use)) *
       ToMillis(elapsed.at_least);
--- a/beamhill/executor/stall_detector_test.cc
+++ b/beamhill/executor/stall_detector_test.cc
@@ -378,6 +378,21 @@
   EXPECT_LE(Poll(seconds(9)), milliseconds(2000));
 }
 
+// Guards against stalls that hid behind pacing: tail latencies rise in a stall,
+// so best-effort runs are paced again with nearly each poll.
+TEST_F(StallDetectorTest, ChangesOfPaceKeepEarlierEvidence) {
+  AddBestEffortRuns();
+  Poll(seconds(1));
+  for (int i = 0; i < 6 && !detector_.stalled(); ++i) {
+    for (SimulatedRun& run : runs_) {
+      run.cpu = run.cpu * 7 / 10;
+      run.pace_ordered_at = now_;
+    }
+    Poll(seconds(1), 0);
+  }
+  EXPECT_TRUE(detector_.stalled());
+}
+
 // The bound is exceeded in CPU time, not in time.
 TEST_F(StallDetectorTest, RunWithoutCpuIsNoStall) {
   const SimulatedRun& run = Add(0, 10);
