Executor: poll once a start is answered while an idle poll is in flight

An idle runner may delay its answer to a poll for a second.

Where stalls are detected, the first answered start sends one further poll. RunnerIsPolledOnceAStartIsAnswered fails without it.

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -370,6 +370,7 @@
   TimePoint reported_at_{};
   int polls_in_flight_ = 0;
   bool long_poll_in_flight_ = false;
+  bool idle_poll_in_flight_ = false;  // The long one, sent while idle.
   TimePoint next_poll_at_{};
   ExecutorCounts counts_;
   Lifetime lifetime_;
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -142,6 +142,12 @@
     case RunnerVerdict::kDone:
       OnBegun(run);
       PaceNewBestEffortRun(run);
+      // The poll in flight may be answered much later, and what the run gains
+      // until it is first listed tells whether it stalls afterwards.
+      if (options_.detect_stalls && idle_poll_in_flight_) {
+        idle_poll_in_flight_ = false;
+        PollSoon();
+      }
       return;
     case RunnerVerdict::kNoAnswer:
       ++counts_.unanswered;
--- a/beamhill/executor/executor_polling.cc
+++ b/beamhill/executor/executor_polling.cc
@@ -89,6 +89,7 @@
   ++counts_.polls;
   const bool long_poll = wait > milliseconds(0);
   if (long_poll) long_poll_in_flight_ = true;
+  if (wait == kIdlePollWait) idle_poll_in_flight_ = true;
   const TimePoint sent_at = hooks_.now();
   RunnerPoll call{status_.incarnation, epoch_, acknowledged_through_,
                   LeaseEndForRunner(), wait};
@@ -97,7 +98,10 @@
       lifetime_.Guard([this, sent_at, wait, long_poll, epoch = epoch_,
                        incarnation = status_.incarnation](RunnerView view) {
         --polls_in_flight_;
-        if (long_poll) long_poll_in_flight_ = false;
+        if (long_poll) {
+          long_poll_in_flight_ = false;
+          idle_poll_in_flight_ = false;
+        }
         OnPollReply(std::move(view), sent_at, wait, epoch, incarnation);
       }));
 }
--- a/beamhill/executor/executor_stalls_test.cc
+++ b/beamhill/executor/executor_stalls_test.cc
@@ -112,6 +112,22 @@
   }
 }
 
+// Guards against runs that were first listed a second after their start, with
+// all that they had gained before a stall in it.
+TEST_F(ExecutorStallsTest, RunnerIsPolledOnceAStartIsAnswered) {
+  Register("incarnation-1");
+  Attach(1);
+  ASSERT_THAT(polls_, SizeIs(1));
+  ASSERT_EQ(polls_.front().first.wait, seconds(1));
+  Start(kRun, 1);
+  AnswerAll(starts_);
+  ASSERT_THAT(polls_, SizeIs(2));
+  EXPECT_EQ(polls_.back().first.wait, milliseconds(0));
+  Start({{"w", 0, 0, 2}, 1}, 1);
+  AnswerAll(starts_);
+  EXPECT_THAT(polls_, SizeIs(2));  // One is enough.
+}
+
 // Guards against a stall that begins before the runs do.
 TEST_F(ExecutorStallsTest, RunThatExceedsItsProgressBoundIsDetected) {
   Register("incarnation-1");
