Owner: log overdue runs whose executors are told of them

runs_overdue names the VM and how many of its runs are longer than their step or queue lets expect. With the executor's runner_without_progress it tells a runner that is slow from one whose stall could not be judged.

--- a/beamhill/dispatch/dispatch_stalls.cc
+++ b/beamhill/dispatch/dispatch_stalls.cc
@@ -66,6 +66,9 @@
   for (auto& [name, message] : bounds) {
     message.epoch = options_.epoch;
     message.incarnation = vms_[name].status.incarnation;
+    LogDecision("", "runs_overdue",
+                name + ", runs " + std::to_string(message.runs.size()) +
+                    " of " + std::to_string(vms_[name].held.size()));
     Send(name, std::move(message));
   }
 }
