Crashes: suspects that wait for too long share a trial

Cause: a task that was suspected twice starts on trial only, with no other workflow on its VM for 1.2 s, on a quarter of the VMs at once. With a hundred suspects of one loss the queue has no bound. ManySuspectsStartInTime: 6 of 40 started within 6 s, after which users count a long-running task as lost.

Change: after 4 s such a task goes to a VM on trial for up to 24 workflows; an eighth of the VMs, plus one, are used so. If the runner is lost there, that run is stored as a crash, but four others are needed to fail the workflow. A new owner does not know that the trial was shared and fails it after four in all.

Measured: 40 of 40 within 6 s. A crashing task takes 5 runners at most (4), two starts after the third as before.

--- a/beamhill/dispatch/dispatch_crashes.cc
+++ b/beamhill/dispatch/dispatch_crashes.cc
@@ -3,7 +3,8 @@
 // When a runner is lost, the tasks that had just begun there become suspects. A
 // suspect starts only on trial: on a VM where no other workflow has just
 // started or may start anything. If the runner is lost during the trial, only
-// that workflow can be the cause; if it survives, the task is cleared.
+// that workflow can be the cause; if it survives, the task is cleared. Suspects
+// that have waited for too long share trials.
 #include <algorithm>
 #include <string>
 
@@ -12,6 +13,7 @@
 namespace beamhill {
 namespace {
 
+using dispatch_internal::Trial;
 using dispatch_internal::Vm;
 
 // An executor sends heartbeats for this long after its runner's last answer.
@@ -23,6 +25,13 @@
 // for this long. Some ten tasks are suspected with each lost runner, and users
 // count a long-running task as lost after 6 s.
 constexpr Duration kTrialWait = std::chrono::milliseconds(2000);
+// A task that was suspected twice shares a trial with others if it got none of
+// its own for this long: a hundred others may be ahead of it. If the runner is
+// lost, none of them shares another one.
+constexpr Duration kSharedTrialWait = std::chrono::milliseconds(4000);
+constexpr size_t kMaxSharedTrial = 24;  // Workflows.
+constexpr size_t kMaxCrashesToShare = 2;
+constexpr size_t kSharedTrialVmsDivisor = 8;
 // A run that has lasted this long did not crash its runner at the start: the
 // lease would have expired and the loss be known by now.
 constexpr Duration kProvenAfter = std::chrono::seconds(10);
@@ -125,9 +134,53 @@
   }
 }
 
-void Dispatcher::OpenTrial(const Job& job, const WorkflowStep& step,
-                           const WorkflowProgress::OpenStep& open,
+Dispatcher::Vm* Dispatcher::ChooseForSharedTrial(const OpenStepRef& at,
+                                                 TimePoint now,
+                                                 std::string* name) {
+  const Job& job = *at.job;
+  const WorkflowStep& step = job.progress.workflow().steps[at.open.step];
+  const std::string& id = job.progress.workflow().id;
+  Vm* best = nullptr;
+  double least = 0;
+  size_t shared = 0;
+  for (auto& [vm_name, vm] : vms_) {
+    if (stalls_.Avoids(vm_name)) continue;
+    const bool on_trial = IsOnTrial(vm, now);
+    if (on_trial && vm.trial->shared) {
+      ++shared;
+      if (now < vm.trial->begins ||
+          vm.trial->workflows.size() >= kMaxSharedTrial) {
+        continue;
+      }
+      const Trial before = *vm.trial;
+      JoinTrial(vm, id, now);
+      if (MayHost(vm, vm_name, job, step, at.open, now)) {
+        *name = vm_name;
+        return &vm;
+      }
+      vm.trial = before;
+    }
+    if (on_trial || !MayHost(vm, vm_name, job, step, at.open, now)) continue;
+    const double cost = TrialCost(vm, step, now);
+    if (best != nullptr && cost >= least) continue;
+    best = &vm;
+    least = cost;
+  }
+  if (best == nullptr || shared > vms_.size() / kSharedTrialVmsDivisor) {
+    return nullptr;
+  }
+  // Open to others, and to this workflow, once nothing else has just begun.
+  BeginTrial(*best, id,
+             std::max(now, best->last_start + kCrashWindow +
+                               dispatch_internal::kTrialMargin));
+  best->trial->shared = true;
+  return nullptr;
+}
+
+void Dispatcher::OpenTrial(const OpenStepRef& at,
                            const WorkflowProgress::Task& task, TimePoint now) {
+  const Job& job = *at.job;
+  const WorkflowStep& step = job.progress.workflow().steps[at.open.step];
   const auto trials = static_cast<size_t>(std::count_if(
       vms_.begin(), vms_.end(),
       [&](const auto& entry) { return IsOnTrial(entry.second, now); }));
@@ -139,7 +192,7 @@
   for (auto& [name, vm] : vms_) {
     if (IsOnTrial(vm, now) || stalls_.Avoids(name)) continue;
     if (only_stable && IsUnstable(vm, now)) continue;
-    if (!MayHost(vm, name, job, step, open, now)) continue;
+    if (!MayHost(vm, name, job, step, at.open, now)) continue;
     const double cost = TrialCost(vm, step, now) +
                         (name == task.avoid_vm ? kAvoidedVmTrialCost : 0);
     if (best != nullptr && cost >= least) continue;
@@ -152,32 +205,43 @@
                                dispatch_internal::kTrialMargin));
 }
 
-Dispatcher::Vm* Dispatcher::ChooseForTrial(
-    const Job& job, const WorkflowStep& step,
-    const WorkflowProgress::OpenStep& open, const WorkflowProgress::Task& task,
-    TimePoint now, std::string* name) {
+Dispatcher::Vm* Dispatcher::ChooseForTrial(const OpenStepRef& at,
+                                           WorkflowProgress::Task& task,
+                                           TimePoint now, std::string* name) {
+  const Job& job = *at.job;
+  const WorkflowStep& step = job.progress.workflow().steps[at.open.step];
+  const std::string& id = job.progress.workflow().id;
   const auto of_this_workflow = [&](const auto& entry) {
-    return IsOnTrial(entry.second, now) &&
-           entry.second.trial->workflow == job.progress.workflow().id;
+    return IsOnTrial(entry.second, now) && !entry.second.trial->shared &&
+           entry.second.trial->workflows.count(id) > 0;
   };
   auto it = std::find_if(vms_.begin(), vms_.end(), of_this_workflow);
   if (it == vms_.end()) {
-    OpenTrial(job, step, open, task, now);
+    OpenTrial(at, task, now);
     it = std::find_if(vms_.begin(), vms_.end(), of_this_workflow);
   }
   if (it != vms_.end()) {
     Vm& vm = it->second;
     if (now < vm.trial->begins || stalls_.Avoids(it->first) ||
-        !MayHost(vm, it->first, job, step, open, now)) {
+        !MayHost(vm, it->first, job, step, at.open, now)) {
       return nullptr;
     }
-    BeginTrial(vm, job.progress.workflow().id, now);
+    JoinTrial(vm, id, now);
     *name = it->first;
     return &vm;
   }
-  const bool waited = now - SuspectWaitingSince(job, task) > kTrialWait;
-  if (task.crashed_runs.size() > 1 || !waited) return nullptr;
-  return ChooseVm(job, step, open, task.avoid_vm, now, name);
+  const Duration waited = now - SuspectWaitingSince(job, task);
+  const size_t crashes = task.crashed_runs.size();
+  if (crashes > 1) {
+    if (crashes > kMaxCrashesToShare || waited <= kSharedTrialWait) {
+      return nullptr;
+    }
+    Vm* vm = ChooseForSharedTrial(at, now, name);
+    if (vm != nullptr) task.shared_trial_run = NextRun(task);
+    return vm;
+  }
+  if (waited <= kTrialWait) return nullptr;
+  return ChooseVm(job, step, at.open, task.avoid_vm, now, name);
 }
 
 }  // namespace beamhill
--- a/beamhill/dispatch/dispatch_crashes_test.cc
+++ b/beamhill/dispatch/dispatch_crashes_test.cc
@@ -61,6 +61,50 @@
   EXPECT_FALSE(NextStart("a"));
 }
 
+// Guards against suspects that wait for a trial without a bound. Each loss of a
+// runner makes suspects of all that had just begun there, and only two of these
+// VMs are on trial at once. Users count a long-running task as lost after 6 s.
+TEST_F(DispatcherCrashesTest, ManySuspectsStartInTime) {
+  constexpr int kSuspects = 40;
+  std::map<std::string, std::vector<RunRef>> running;  // By VM.
+  const auto start_for = [&](Duration time) {
+    size_t started = 0;
+    for (const TimePoint end = now_ + time; now_ < end;) {
+      AdvanceTime(milliseconds(250), kVms);
+      for (const auto& [vm, run] : TakeSent().starts) {
+        running[vm].push_back(run);
+        ++started;
+      }
+    }
+    return started;
+  };
+  for (int i = 0; i < kSuspects; ++i) {
+    Workflow workflow = SingleStepWorkflow("w" + std::to_string(i), 1, 2);
+    workflow.steps[0].each = {200, 100, 0};
+    dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
+  }
+  for (int losses = 0; losses < 2; ++losses) {
+    ASSERT_EQ(start_for(seconds(6)), kSuspects) << losses;
+    for (const auto& [vm, runs] : std::exchange(running, {})) {
+      LoseRunner(vm, runs);
+    }
+  }
+  EXPECT_EQ(start_for(seconds(6)), kSuspects);
+}
+
+// Of the workflows that share a trial, all but one are innocent.
+TEST_F(DispatcherCrashesTest, LossOfASharedTrialIsNotCounted) {
+  Workflow workflow = SingleStepWorkflow("a", 1, 2);
+  WorkflowProgress progress(workflow);
+  const TaskRef task{"a", 0, 0, 0};
+  for (const uint64_t run : {1, 2}) progress.OnRunnerCrash(task, run);
+  progress.At(task).shared_trial_run = 3;
+  for (const uint64_t run : {3, 4}) progress.OnRunnerCrash(task, run);
+  EXPECT_NE(progress.state(), WorkflowState::kFailed);
+  progress.OnRunnerCrash(task, 5);
+  EXPECT_EQ(progress.state(), WorkflowState::kFailed);
+}
+
 // The loss of a runner that crashes for reasons of its own would count against
 // any task that is on trial there.
 TEST_F(DispatcherCrashesTest, SuspectStartsWhereNoRunnerWasLostRecently) {
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -180,7 +180,7 @@
     }
     std::string name;
     const bool suspect = !task.crashed_runs.empty();
-    Vm* vm = suspect ? ChooseForTrial(job, step, open, task, now, &name)
+    Vm* vm = suspect ? ChooseForTrial({&job, open}, task, now, &name)
                      : ChooseVm(job, step, open, task.avoid_vm, now, &name);
     if (vm == nullptr && suspect) continue;
     if (vm == nullptr) return;
@@ -267,7 +267,8 @@
   }
   if (IsEvacuated(vm)) return false;
   if (stalls_.Avoids(name) && !MayProbeStall(name, vm, step, now)) return false;
-  if (IsOnTrial(vm, now) && vm.trial->workflow != job.progress.workflow().id) {
+  if (IsOnTrial(vm, now) &&
+      vm.trial->workflows.count(job.progress.workflow().id) == 0) {
     return false;
   }
   if (now < vm.not_before || vm.lease_bound - now < kMinLeaseTime) return false;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -374,13 +374,13 @@
   void ClearSuspects(TimePoint now);
   // A VM on which the suspect's workflow is on trial; starts a trial if needed.
   // Null while there is none.
-  Vm* ChooseForTrial(const Job& job, const WorkflowStep& step,
-                     const WorkflowProgress::OpenStep& open,
-                     const WorkflowProgress::Task& task, TimePoint now,
-                     std::string* name);
-  void OpenTrial(const Job& job, const WorkflowStep& step,
-                 const WorkflowProgress::OpenStep& open,
-                 const WorkflowProgress::Task& task, TimePoint now);
+  Vm* ChooseForTrial(const OpenStepRef& at, WorkflowProgress::Task& task,
+                     TimePoint now, std::string* name);
+  // As ChooseForTrial, on a VM that several workflows may be tried on.
+  Vm* ChooseForSharedTrial(const OpenStepRef& at, TimePoint now,
+                           std::string* name);
+  void OpenTrial(const OpenStepRef& at, const WorkflowProgress::Task& task,
+                 TimePoint now);
 
   // In dispatch_placement.cc.
   void StartWaitingTasks(TimePoint now, UnixMillis unix_now);
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -132,13 +133,14 @@
   double ratio = 0;
 };
 
-// A period in which only one workflow may start tasks on a VM, to find out
-// whether its suspect tasks crash runners.
+// A period in which only these workflows may start tasks on a VM, to find out
+// whether their suspect tasks crash runners.
 struct Trial {
-  std::string workflow;
+  std::set<std::string> workflows;
   // From here on, no start of another workflow can be the cause of a crash.
   TimePoint begins{};
   TimePoint ends{};
+  bool shared = false;  // Other workflows may join.
 };
 
 // A VM as reported by its executor, with the runs that it holds.
@@ -196,7 +198,14 @@
 // Keeps other workflows off until a start at `begins` can no longer crash the
 // runner.
 inline void BeginTrial(Vm& vm, const std::string& workflow, TimePoint begins) {
-  vm.trial = Trial{workflow, begins, begins + kCrashWindow + kTrialMargin};
+  vm.trial =
+      Trial{{workflow}, begins, begins + kCrashWindow + kTrialMargin, false};
+}
+
+// Lets another workflow start tasks on a VM that is on trial.
+inline void JoinTrial(Vm& vm, const std::string& workflow, TimePoint now) {
+  vm.trial->workflows.insert(workflow);
+  vm.trial->ends = now + kCrashWindow + kTrialMargin;
 }
 
 inline bool IsOnTrial(const Vm& vm, TimePoint now) {
--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -362,7 +362,10 @@
     return false;
   }
   crashed.push_back(run);
-  if (crashed.size() >= kMaxCrashes) state_ = WorkflowState::kFailed;
+  // Any of the workflows that shared the trial may have been the cause.
+  const auto shared = static_cast<size_t>(
+      std::count(crashed.begin(), crashed.end(), task.shared_trial_run));
+  if (crashed.size() >= kMaxCrashes + shared) state_ = WorkflowState::kFailed;
   return true;
 }
 
