Long-running: a move makes room for a task that fits on no VM

Cause: a VM is reserved for such a task only if the task fits beside the serving tasks there. With 95 % of all processors reserved by services no VM has 3 to 4 cores left, and nothing was done about that. Besides, a VM full of long-running tasks without a tail target counted as one with room, and was reserved in vain.

Change: if no VM can be reserved for a task that has been down for 1 s, the smallest long-running task whose leaving makes the room is moved (room_making, pure), if its step allows one more to be away and another VM has room for it at once. One move a second at most. Reservations count all long-running tasks.

Weighed: moving the task that needs least (kept); exchanging two tasks (needs neither VM to have room, but both are down at once, and up to 0.4 s longer); stopping tasks of lower priority (their users pay).

Measured: TaskThatFitsOnNoVmGetsRoomByAMove, with and without a tail target, failed before (nothing started within 6 s), now one stop and both tasks run.

--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "beamhill/dispatch/dispatcher.h"
+#include "beamhill/placement/room_making.h"
 
 namespace beamhill {
 namespace {
@@ -22,6 +23,17 @@
 // than fit, and short tasks must still find room.
 constexpr size_t kReservedVmsDivisor = 8;
 
+// A task that has run before and for which no VM can be reserved waits this
+// long until another one is moved for it.
+constexpr Duration kRoomMakingWait = std::chrono::milliseconds(1000);
+// Time for the moved task to end and for the waiting one to start.
+constexpr Duration kRoomMakingInterval = std::chrono::milliseconds(1000);
+
+bool HasLabel(const VmStatus& status, const std::string& label) {
+  return label.empty() || std::find(status.labels.begin(), status.labels.end(),
+                                    label) != status.labels.end();
+}
+
 }  // namespace
 
 void Dispatcher::RefreshLongRunning(TimePoint now) {
@@ -31,19 +43,16 @@
   ReserveForLongRunning(now);
 }
 
-size_t Dispatcher::ProbesOn(const std::string& name, const Vm& vm) const {
-  const auto since = health_.QuarantinedSince(name);
-  if (!since) return 0;
-  return static_cast<size_t>(std::count_if(
-      vm.held.begin(), vm.held.end(),
-      [&](const auto& entry) { return entry.second.since >= *since; }));
-}
-
+// A long-running task that has been down for too long need not wait for the
+// next probe.
 bool Dispatcher::IsHealthyFor(const std::string& name, const Vm& vm,
                               const Job& job, const WorkflowStep& step,
                               TimePoint now) const {
-  if (!health_.IsQuarantined(name)) return true;
-  const size_t probes = ProbesOn(name, vm);
+  const auto quarantined = health_.QuarantinedSince(name);
+  if (!quarantined) return true;
+  const auto probes = static_cast<size_t>(std::count_if(
+      vm.held.begin(), vm.held.end(),
+      [&](const auto& entry) { return entry.second.since >= *quarantined; }));
   if (health_.MayPlace(name, probes, now)) return true;
   return step.long_running && probes == 0 && job.down_since &&
          now - *job.down_since >= kMaxDowntime;
@@ -100,13 +109,16 @@
   const size_t most = 1 + vms_.size() / kReservedVmsDivisor;
   for (const LongRunningWait& wait : waits) {
     if (reserved_capacity_.size() >= most) break;
-    ReserveVmFor(*wait.job, *wait.step);
+    if (ReserveVmFor(*wait.job, *wait.step)) continue;
+    if (!wait.first_run && now - wait.since >= kRoomMakingWait) {
+      MakeRoomFor(*wait.job, *wait.step, now);
+    }
   }
 }
 
-// Chooses the VM with most processor time beside its serving tasks: this choice
-// is the most stable over time.
-void Dispatcher::ReserveVmFor(const Job& job, const WorkflowStep& step) {
+// Chooses the VM with most processor time beside its long-running tasks: this
+// choice is the most stable over time.
+bool Dispatcher::ReserveVmFor(const Job& job, const WorkflowStep& step) {
   const std::string* best = nullptr;
   int64_t most = 0;
   for (const auto& [name, vm] : vms_) {
@@ -117,17 +129,70 @@
         health_.IsQuarantined(name) || reserved_capacity_.count(name) > 0) {
       continue;
     }
-    const bool labelled = step.required_label.empty() ||
-                          std::find(status.labels.begin(), status.labels.end(),
-                                    step.required_label) != status.labels.end();
-    const int64_t left = status.capacity.cpu_millis - vm.serving_cpu;
-    if (!labelled || left < step.each.cpu_millis) continue;
+    const int64_t left = status.capacity.cpu_millis - vm.long_running_cpu;
+    if (left < step.each.cpu_millis) continue;
+    if (!HasLabel(status, step.required_label)) continue;
     if (best != nullptr && left <= most) continue;
     if (stalls_.Avoids(name)) continue;
     best = &name;
     most = left;
   }
   if (best != nullptr) reserved_capacity_[*best] = step.each;
+  return best != nullptr;
+}
+
+void Dispatcher::MakeRoomFor(const Job& job, const WorkflowStep& step,
+                             TimePoint now) {
+  if (now - room_made_at_ < kRoomMakingInterval) return;
+  std::vector<RoomOnVm> rooms;
+  std::vector<std::pair<std::string, std::vector<RunRef>>> runs;  // By VM.
+  for (const auto& [name, vm] : vms_) {
+    const VmStatus& status = vm.status;
+    if (!vm.linked || !vm.has_inventory || status.draining ||
+        status.incarnation.empty() || IsEvacuated(vm) ||
+        status.service != job.progress.workflow().service ||
+        health_.IsQuarantined(name) || reserved_capacity_.count(name) > 0 ||
+        stalls_.Avoids(name) || !HasLabel(status, step.required_label)) {
+      continue;
+    }
+    RoomOnVm& room = rooms.emplace_back();
+    room.room = status.capacity;
+    runs.emplace_back(name, std::vector<RunRef>());
+    for (const auto& [run, held] : vm.held) {
+      if (!held.long_running) continue;
+      room.room = room.room - held.amount;
+      const Job* other = Find(run.task.workflow);
+      if (other == nullptr || !MayStart(*other) || vm.stops.Has(run)) continue;
+      const Workflow& workflow = other->progress.workflow();
+      if (workflow.steps[run.task.step].gang || workflow.policy.needs_advice) {
+        continue;
+      }
+      room.tasks.push_back(held.amount);
+      runs.back().second.push_back(run);
+    }
+  }
+  no_room_.clear();
+  const auto may_move = [&](const RoomMaker& move) {
+    const auto& [name, movable] = runs[move.vm];
+    const TaskRef& ref = movable[move.task].task;
+    const Job& other = *Find(ref.workflow);
+    const WorkflowStep& its_step = other.progress.workflow().steps[ref.step];
+    if (TasksAway(other, ref, now) >=
+        std::max<size_t>(1, its_step.max_unavailable)) {
+      return false;
+    }
+    std::string target;
+    const Vm* vm =
+        ChooseVm(other, its_step, {ref.round, ref.step}, name, now, &target);
+    return vm != nullptr && target != name;
+  };
+  const auto move = ChooseRoomMaker(rooms, step.each, may_move);
+  if (!move) return;
+  room_made_at_ = now;
+  const auto& [name, movable] = runs[move->vm];
+  const RunRef& run = movable[move->task];
+  MigrateRun(name, vms_[name], *Find(run.task.workflow), run,
+             "makes room for a long-running task", now);
 }
 
 bool Dispatcher::FitsBesideReservation(const std::string& name, const Vm& vm,
--- a/beamhill/dispatch/dispatch_long_running_test.cc
+++ b/beamhill/dispatch/dispatch_long_running_test.cc
@@ -1,6 +1,8 @@
 // Tests how the Dispatcher keeps long-running tasks running when VMs are
 // quarantined for failing tasks, and when short tasks compete for each core
 // that becomes free.
+#include <set>
+
 #include "beamhill/dispatch/dispatcher_test_base.h"
 
 namespace beamhill {
@@ -52,6 +54,8 @@
   }
 
   std::map<std::string, uint64_t> ends_;
+  std::set<std::string> vms_;
+  std::map<std::string, RunRef> runs_;  // By workflow.
 };
 
 // A VM with a long-running task never becomes empty, so a probe has to run
@@ -102,6 +106,63 @@
   EXPECT_THAT(TakeSent().starts, SizeIs(1));
 }
 
+class DispatcherRoomMakingTest : public DispatcherLongRunningTest,
+                                 public testing::WithParamInterface<bool> {};
+
+// Guards against a long-running task that waits without end while there is more
+// than twice the room for it in all, but not enough on any VM. Users count it
+// as lost after 6 s.
+TEST_P(DispatcherRoomMakingTest, TaskThatFitsOnNoVmGetsRoomByAMove) {
+  TakeOwnership({});
+  const auto start = [&](const std::string& id, const std::string& vm,
+                         int64_t cpu, const std::string& label) {
+    labels_[vm] = {vm};
+    if (vms_.count(vm) == 0) ConnectVm(vm);
+    vms_.insert(vm);
+    Workflow workflow = LongRunningWorkflow(id, 1, cpu);
+    workflow.steps[0].required_label = label;
+    if (!GetParam()) workflow.steps[0].tail_target = Duration(0);
+    dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
+    const auto starts = Tick().starts;
+    ASSERT_THAT(starts, SizeIs(1));
+    ASSERT_EQ(starts[0].first, vm);
+    runs_[id] = starts[0].second;
+  };
+  start("fixed-1", "vm-1", 4000, "vm-1");
+  start("small", "vm-1", 2000, "");
+  for (const char* vm : {"vm-2", "vm-3", "vm-4"}) {
+    start(std::string("fixed-") + vm, vm, 6000, vm);
+  }
+  start("large", "vm-5", 4000, "");
+  dispatcher_->OnReports("vm-5",
+                         {2,
+                          StatusOf("vm-5").incarnation,
+                          {{1, runs_["large"], RunEndKind::kStopped, ""}},
+                          {},
+                          {}},
+                         now_);
+  dispatcher_->OnLinkDown("vm-5");
+  vms_.erase("vm-5");
+  const std::vector<std::string> alive(vms_.begin(), vms_.end());
+  std::map<std::string, std::string> started;  // The VM, by workflow.
+  size_t stops = 0;
+  for (int i = 0; i < 24 && started.size() < 2; ++i) {
+    AdvanceTime(milliseconds(250), alive);
+    const Sent sent = TakeSent();
+    for (const auto& [vm, run] : sent.starts) started[run.task.workflow] = vm;
+    for (const auto& [vm, run] : sent.stops) {
+      ++stops;
+      ReceiveEnd(vm, ++ends_[vm], run, RunEndKind::kStopped);
+    }
+  }
+  EXPECT_EQ(started["large"], "vm-1");
+  EXPECT_THAT(started["small"], testing::AnyOf("vm-2", "vm-3", "vm-4"));
+  EXPECT_EQ(stops, 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(WithTailTarget, DispatcherRoomMakingTest,
+                         testing::Bool());
+
 // Short tasks fit into gaps that are too small for a long-running task, and are
 // ahead in the order. Without a reservation the long-running task starves while
 // they keep arriving.
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -349,14 +349,13 @@
                                std::vector<LongRunningWait>& waits);
   // Reserves a VM's capacity for each long-running task that waits too long.
   void ReserveForLongRunning(TimePoint now);
-  void ReserveVmFor(const Job& job, const WorkflowStep& step);
+  bool ReserveVmFor(const Job& job, const WorkflowStep& step);
+  // Moves another long-running task if that makes room for one of the step.
+  void MakeRoomFor(const Job& job, const WorkflowStep& step, TimePoint now);
   // Whether the step fits beside the VM's reservation, if there is one.
   bool FitsBesideReservation(const std::string& name, const Vm& vm,
                              const WorkflowStep& step) const;
-  // Number of runs ordered there since its quarantine began.
-  size_t ProbesOn(const std::string& name, const Vm& vm) const;
-  // Whether the VM's health allows the task. A long-running task that has been
-  // down for too long need not wait for the next probe.
+  // Whether the VM's health allows the task.
   bool IsHealthyFor(const std::string& name, const Vm& vm, const Job& job,
                     const WorkflowStep& step, TimePoint now) const;
 
@@ -450,6 +449,7 @@
   TimePoint idle_refreshed_at_{};
   TimePoint layout_refreshed_at_{};
   TimePoint long_running_refreshed_at_{};
+  TimePoint room_made_at_{};
   Evacuations evacuations_;
   TimePoint halls_evacuated_at_{};
   // Capacity reserved for a long-running task, by VM.
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -169,7 +169,9 @@
   PendingStops stops;
   Resources used;  // Requested, without best-effort processor time.
   int64_t best_effort_cpu = 0;  // Requested, in millicores.
-  int64_t serving_cpu = 0;  // Share of `used` of serving tasks, in millicores.
+  // Shares of `used` of serving and of long-running tasks, in millicores.
+  int64_t serving_cpu = 0;
+  int64_t long_running_cpu = 0;
   std::map<std::string, ServingImage> serving;
   // Requested millicores, by image.
   std::map<std::string, int64_t> best_effort;
