Executor: nothing starts on a VM that a new owner may not wait for

What callers could see: a task that runs twice.

Cause: an executor that starts while the table is away does not know whether its VM has a row, and serves its runner at once. The row may be missing: it is removed once the runner is gone. An owner that is still linked from before can start tasks there. A successor finds VMs by their rows only, does not wait for this one, and starts the tasks elsewhere.

Change: until the row has been read as stored, starts are refused, and are placed elsewhere. A runner that lists a run or an end is served all the same, so that a restarted executor continues to serve during an outage: a runner is given work only while the row is there, and the row stays until the runner is gone. If the row turns out to be missing, the executor stores it, and then rejects owners below the one that the table names, as for a runner that had to wait. A VM whose row was lost to a late removal of an earlier process is covered as well, from the check that finds it missing.

Weighed: to hold the registration back (an executor restarted in an outage would stop serving; RegistrationIsPassedOnAtOnceBeforeTheTableAnswers); a second scan of the rows by each new owner before it starts inherited work (delays each takeover after an outage by up to 6.4 s).

Price: a VM whose runner is idle takes no work if its executor restarts in an outage of the table, until that ends.

Measured: RunnerServedWithoutARowStartsNothing, NothingStartsWhileOwnersCannotFindTheVm fail without the change; RunnerThatHasWorkedKeepsServing guards the other side.

--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -65,6 +65,9 @@
   std::function<void(const std::string& event, const std::string& task,
                      const std::string& detail)>
       log;
+  // Whether a new owner would find this VM, so that tasks may start here. If
+  // unset, it would.
+  std::function<bool()> owners_find_vm;
 };
 
 struct ExecutorCounts {
@@ -212,6 +215,9 @@
                   const StartRun& start);
   // Sends queued starts as far as the limit on calls in flight allows.
   void SendStarts();
+  // Whether a new owner waits for this VM before it starts tasks again that may
+  // run here.
+  bool OwnersWaitForVm() const;
   // Sends the start and returns true, or reports to the owner that the run does
   // not begin if the start is no longer valid.
   bool SendStart(const RunRef& run, const PendingStart& start);
@@ -351,6 +357,9 @@
   bool clock_known_ = false;
   TimePoint last_answer_{};  // Of the current incarnation, to any call.
 
+  // The current incarnation has listed a run or an end. A runner is given work
+  // only while the VM has a row, and the row stays until it is gone.
+  bool runner_has_worked_ = false;
   std::map<RunRef, Order> orders_;
   CallQueue<PendingStart> start_queue_;
   CallQueue<PendingStop> stop_queue_;
--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -315,5 +315,38 @@
   EXPECT_THAT(logged_["runner_lost"][0], HasSubstr("w.0.0.0/1"));
 }
 
+// Guards against a double start: a new owner does not wait for a VM without a
+// row, while the one before may still be linked to it.
+TEST_F(ExecutorLossesTest, NothingStartsWhileOwnersCannotFindTheVm) {
+  owners_find_vm_ = false;
+  Register("incarnation-1");
+  Attach(1);
+  Start(kRun, 1);
+  EXPECT_THAT(starts_, IsEmpty());
+  ASSERT_THAT(Sent<RunReports>(), SizeIs(1));
+  EXPECT_EQ(Sent<RunReports>()[0].not_begun[0].run, kRun);
+  owners_find_vm_ = true;
+  const RunRef next{kRun.task, 2};
+  Start(next, 1);
+  EXPECT_THAT(starts_, SizeIs(1));
+}
+
+// An executor that restarts while the table is away must continue to serve: the
+// row of a VM whose runner has worked is there.
+TEST_F(ExecutorLossesTest, RunnerThatHasWorkedKeepsServing) {
+  owners_find_vm_ = false;
+  Register("incarnation-1");
+  executor_->OnMessage(kLink, ::beamhill::Attach{"a", 1});
+  AnswerPoll({{{{"w", 0, 0, 1}, 1}, 30, 1000}});
+  executor_->OnMessage(kLink, RenewLease{1, now_, seconds(5)});
+  Start(kRun, 1);
+  EXPECT_THAT(starts_, SizeIs(1));
+  Register("incarnation-2");
+  AnswerPoll();
+  AnswerPoll();
+  Start({kRun.task, 3}, 1);
+  EXPECT_THAT(starts_, SizeIs(1));  // The next one has not worked yet.
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -84,6 +84,11 @@
   }
 }
 
+bool Executor::OwnersWaitForVm() const {
+  return runner_has_worked_ || !hooks_.owners_find_vm ||
+         hooks_.owners_find_vm();
+}
+
 // Stops withdraw queued starts, and a new owner or incarnation of the runner
 // clears the queue. So only the lease, the latest start time and whether the
 // runner is leaving remain to be checked.
@@ -95,6 +100,11 @@
     ReportNotBegun(run, NotBegunReason::kOutdated);
     return false;
   }
+  if (!OwnersWaitForVm()) {
+    ++counts_.refused;
+    ReportNotBegun(run, NotBegunReason::kUnhealthy);
+    return false;
+  }
   ++counts_.starts;
   incarnation_record_.OnStartSent(run, now);
   // A run that resumes is listed with what earlier runs have gained.
--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -50,6 +50,7 @@
                  const std::string& detail) {
     Log(LogLevel::kInfo, event, {{"task", task}, {"detail", detail}});
   };
+  hooks.owners_find_vm = [this] { return registration_->found_by_owners(); };
   executor_ = std::make_unique<Executor>(settings_.executor, std::move(runner),
                                          std::move(hooks));
   const Executor* executor = executor_.get();
--- a/beamhill/executor/vm_registration.cc
+++ b/beamhill/executor/vm_registration.cc
@@ -42,7 +42,7 @@
     if (runner_registered_) Store(0);
     return;
   }
-  if (stored() && waiting_) {
+  if (stored() && (waiting_ || owner_epoch_due_)) {
     ReadOwnerEpoch();
     return;
   }
@@ -168,6 +168,7 @@
   state_ = RowState::kAbsent;
   version_ = 0;
   backoff_ = Duration(0);
+  owner_epoch_due_ = owner_epoch_due_ || !served_incarnation_.empty();
   if (runner_registered_) Store(0);
 }
 
@@ -208,7 +209,7 @@
   version_ = version;
   backoff_ = Duration(0);
   check_at_ = hooks_.now() + kRowCheckInterval;
-  if (waiting_) ReadOwnerEpoch();
+  if (waiting_ || owner_epoch_due_) ReadOwnerEpoch();
 }
 
 void VmRegistration::ReadOwnerEpoch() {
@@ -227,7 +228,7 @@
 }
 
 void VmRegistration::OnOwnerRow(const Row& row) {
-  if (!waiting_) return;
+  if (!waiting_ && !owner_epoch_due_) return;
   if (row.version != 0) {
     const auto owner = DecodeRecord<OwnerRecord>(row.value);
     if (!IsOk(owner)) {
@@ -237,6 +238,8 @@
     hooks_.on_owner_epoch(ValueOf(owner).epoch);
   }
   backoff_ = Duration(0);
+  owner_epoch_due_ = false;
+  if (!waiting_) return;
   const WaitingRegistration registration = *std::exchange(waiting_, {});
   served_incarnation_ = registration.incarnation;
   registration.pass_on();
--- a/beamhill/executor/vm_registration.h
+++ b/beamhill/executor/vm_registration.h
@@ -66,6 +66,9 @@
   void OnRunnerLeaving(const std::string& incarnation);
   // Whether the row was correct when it was last read or written.
   bool stored() const { return state_ == RowState::kStored; }
+  // Whether a new owner finds this VM: the row is stored, and if it was missing
+  // while a runner was served, `on_owner_epoch` has been called since.
+  bool found_by_owners() const { return stored() && !owner_epoch_due_; }
   // How long the row has been stored, as far as this process knows: owners
   // can't find the VM before that. Zero while it is not stored.
   Duration StoredFor() const;
@@ -134,6 +137,9 @@
   std::optional<WaitingRegistration> waiting_;
   // The incarnation whose registration was passed on last.
   std::string served_incarnation_;
+  // The row was missing while a runner was served: owners below the epoch that
+  // the table names must be rejected.
+  bool owner_epoch_due_ = false;
   // A runner has registered and is not known to be gone: a missing row is to be
   // stored.
   bool runner_registered_ = false;
--- a/beamhill/executor/vm_registration_owners_test.cc
+++ b/beamhill/executor/vm_registration_owners_test.cc
@@ -64,6 +64,32 @@
   EXPECT_THAT(passed_on_, ElementsAre("runner/1"));
 }
 
+// Guards against a double start: an executor that starts while the table is
+// away serves its runner before it knows that the VM has no row.
+TEST_F(VmRegistrationOwnersTest, RunnerServedWithoutARowStartsNothing) {
+  StoreOwner(5);
+  table_.set_fault(TableFault::kDown);
+  const auto registration = Make("10.0.0.1:1");
+  AdvanceTime(seconds(1), *registration);
+  ASSERT_THAT(passed_on_, ElementsAre("runner/1"));
+  EXPECT_FALSE(registration->found_by_owners());
+  table_.set_fault(TableFault::kNone);
+  AdvanceTime(seconds(8), *registration);
+  EXPECT_TRUE(registration->found_by_owners());
+  EXPECT_THAT(owner_epochs_, ElementsAre(5));
+}
+
+TEST_F(VmRegistrationOwnersTest, VmWithARowIsFoundOnceItIsRead) {
+  const auto first = Make("10.0.0.1:1");
+  AdvanceTime(seconds(1), *first);
+  StoreOwner(5);
+  const auto restarted = Make("10.0.0.1:1");
+  EXPECT_FALSE(restarted->found_by_owners());
+  AdvanceTime(seconds(1), *restarted);
+  EXPECT_TRUE(restarted->found_by_owners());
+  EXPECT_THAT(owner_epochs_, IsEmpty());
+}
+
 // Guards against executors without a runner that take their owner for lost and
 // stand in for schedulers: no owner can find them.
 TEST_F(VmRegistrationOwnersTest, VmCanBeFoundOnlyOnceItsRowIsStored) {
