Stalls: VMs are compared within their service

Work stays on stalled VMs if more than a third of the VMs are stalled, since the fault is then not in single VMs and the rest could not take their work. All VMs were counted together. Both VMs of a small service, stalled at once, looked like a fault of single VMs beside 60 of another service, and their work was stopped with nowhere to go; and one service with such a fault kept the others' work on their stalled VMs.

The numbers are compared for each service. vms_stalled names it. Both new tests, ServicesAreComparedOneByOne and VmsOfOtherServicesDoNotCount, need the change to compile or fail without it; WithTooManyStalledAllStayInUse is as it was.

--- a/beamhill/dispatch/dispatch_stalls.cc
+++ b/beamhill/dispatch/dispatch_stalls.cc
@@ -33,7 +33,9 @@
   const std::string& incarnation = vm.status.incarnation;
   const bool stalled = vm.status.stalled && !incarnation.empty();
   const auto age = static_cast<int64_t>(ToMillis(stalls_.Age(name, now)));
-  if (!stalls_.Report(name, incarnation, stalled, now)) return;
+  if (!stalls_.Report(name, incarnation, stalled, now, vm.status.service)) {
+    return;
+  }
   if (stalled) {
     LogDecision("", "vm_stalled",
                 name + ", runs " + std::to_string(vm.held.size()));
@@ -73,24 +75,36 @@
   }
 }
 
-void Dispatcher::RefreshStalls(TimePoint now) {
-  SendProgressBounds(now);
-  if (stalls_.empty() && !stalls_.too_many()) return;
-  size_t stalled = 0;
-  size_t answering = 0;
+void Dispatcher::CompareStalls() {
+  struct Numbers {
+    size_t stalled = 0;
+    size_t answering = 0;
+  };
+  std::map<std::string, Numbers> services;
+  for (const std::string& service : stalls_.too_many()) services[service];
   for (const auto& [name, vm] : vms_) {
     if (!vm.has_inventory) continue;
-    ++answering;
-    if (stalls_.Has(name)) ++stalled;
+    Numbers& numbers = services[vm.status.service];
+    ++numbers.answering;
+    if (stalls_.Has(name)) ++numbers.stalled;
   }
-  if (stalls_.Compare(stalled, answering)) {
+  for (const auto& [service, numbers] : services) {
+    const auto [stalled, answering] = numbers;
+    if (!stalls_.Compare(stalled, answering, service)) continue;
+    const bool too_many = stalls_.too_many().count(service) > 0;
     LogDecision("", "vms_stalled",
                 std::to_string(stalled) + " of " + std::to_string(answering) +
-                    " VMs, work " + (stalls_.too_many() ? "stays" : "moves"));
+                    " VMs of " + service + ", work " +
+                    (too_many ? "stays" : "moves"));
   }
-  if (stalls_.too_many()) return;
+}
+
+void Dispatcher::RefreshStalls(TimePoint now) {
+  SendProgressBounds(now);
+  if (stalls_.empty() && stalls_.too_many().empty()) return;
+  CompareStalls();
   for (auto& [name, vm] : vms_) {
-    if (!vm.has_inventory || !stalls_.Has(name)) continue;
+    if (!vm.has_inventory || !stalls_.Avoids(name)) continue;
     CheckStallProbe(name, vm, now);
     MigrateOffStalled(name, vm, now);
   }
--- a/beamhill/dispatch/dispatch_stalls_test.cc
+++ b/beamhill/dispatch/dispatch_stalls_test.cc
@@ -310,6 +310,24 @@
   EXPECT_EQ(decisions_["vms_stalled"], 2);
 }
 
+// Guards against a fault of all VMs of one service that looks like one of
+// single VMs beside the many of another service.
+TEST_F(DispatcherStallsTest, VmsOfOtherServicesDoNotCount) {
+  for (int i = 3; i <= 9; ++i) services_["vm-" + std::to_string(i)] = "other";
+  ConnectVms(9);
+  ASSERT_THAT(Start(SingleStepWorkflow("a", 6, 2)), SizeIs(6));
+  Workflow other = SingleStepWorkflow("o", 6, 2);
+  other.service = "other";
+  const std::string busy = Start(other).at(0).first;
+  for (const char* vm : {"vm-1", "vm-2"}) SetStalled(vm, true);
+  EXPECT_THAT(Advance(seconds(4)).stops, IsEmpty())
+      << "both VMs of the service";
+  SetStalled(busy, true);
+  EXPECT_THAT(Advance(seconds(1)).stops, Each(Key(busy)));
+  SetStalled("vm-2", false);
+  EXPECT_THAT(Advance(seconds(1)).stops, Each(Key(busy))) << "one of two";
+}
+
 // The status may change while there is no link, or with the runner.
 TEST_F(DispatcherStallsTest, InventoryReplacesWhatWasKnown) {
   ConnectVms(4);
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -101,7 +101,9 @@
   for (const std::string& hall : evacuations_.halls) {
     out << "evacuated hall " << hall << "\n";
   }
-  if (stalls_.too_many()) out << "too many stalled vms, work stays there\n";
+  for (const std::string& service : stalls_.too_many()) {
+    out << "too many stalled vms of " << service << ", work stays there\n";
+  }
   for (const auto& [name, vm] : vms_) {
     out << "vm " << name << " life " << vm.status.incarnation << " answered "
         << vm.has_inventory << " held " << vm.held.size() << " stops "
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -327,6 +327,7 @@
 
   // In dispatch_stalls.cc.
   void UpdateStall(const std::string& name, const Vm& vm, TimePoint now);
+  void CompareStalls();
   void RefreshStalls(TimePoint now);
   void SendProgressBounds(TimePoint now);
   void CheckStallProbe(const std::string& name, const Vm& vm, TimePoint now);
@@ -371,8 +372,7 @@
   void MarkSuspect(const std::string& name, const RunRef& run, TimePoint now);
   // Clears tasks whose run has lasted long enough.
   void ClearSuspects(TimePoint now);
-  // A VM on which the suspect's workflow is on trial; starts a trial if needed.
-  // Null while there is none.
+  // A VM for the suspect's trial, which is started if needed; null without one.
   Vm* ChooseForTrial(const OpenStepRef& at, WorkflowProgress::Task& task,
                      TimePoint now, std::string* name);
   // As ChooseForTrial, on a VM that several workflows may be tried on.
--- a/beamhill/dispatch/dispatcher_test_base.h
+++ b/beamhill/dispatch/dispatcher_test_base.h
@@ -68,7 +68,7 @@
     VmStatus status;
     status.incarnation =
         incarnations_[vm].empty() ? vm + "-incarnation-1" : incarnations_[vm];
-    status.service = "web";
+    status.service = services_[vm].empty() ? "web" : services_[vm];
     status.rack = racks_[vm];
     status.hall = halls_[vm];
     status.cold = cold_for_[vm];
@@ -189,6 +189,7 @@
   bool confirm_ownership_ = true;  // At each step of AdvanceTime.
   // What VMs report, by VM.
   std::map<std::string, std::string> incarnations_;
+  std::map<std::string, std::string> services_;  // Empty: "web".
   std::map<std::string, std::string> racks_;
   std::map<std::string, std::string> halls_;
   std::map<std::string, Duration> cold_for_;
--- a/beamhill/dispatch/stalled_vms.cc
+++ b/beamhill/dispatch/stalled_vms.cc
@@ -16,24 +16,32 @@
 }  // namespace
 
 bool StalledVms::Report(const std::string& vm, const std::string& incarnation,
-                        bool stalled, TimePoint now) {
+                        bool stalled, TimePoint now,
+                        const std::string& service) {
   const auto it = stalls_.find(vm);
   const bool known = it != stalls_.end();
   const bool replaced = known && it->second.incarnation != incarnation;
   if (known == stalled && !replaced) return false;
   if (known) stalls_.erase(it);
   if (stalled) {
-    stalls_[vm] = Stall{incarnation, now, kFirstProbeDelay,
-                        now + kFirstProbeDelay, std::nullopt};
+    stalls_[vm] = Stall{
+        service,     incarnation, now, kFirstProbeDelay, now + kFirstProbeDelay,
+        std::nullopt};
   }
   return true;
 }
 
-bool StalledVms::Compare(size_t stalled, size_t answering) {
-  const bool too_many = stalled * kTooManyDivisor > answering;
-  const bool changed = too_many != too_many_;
-  too_many_ = too_many;
-  return changed;
+bool StalledVms::Compare(size_t stalled, size_t answering,
+                         const std::string& service) {
+  if (stalled * kTooManyDivisor > answering) {
+    return too_many_.insert(service).second;
+  }
+  return too_many_.erase(service) > 0;
+}
+
+bool StalledVms::Avoids(const std::string& vm) const {
+  const auto it = stalls_.find(vm);
+  return it != stalls_.end() && too_many_.count(it->second.service) == 0;
 }
 
 Duration StalledVms::Age(const std::string& vm, TimePoint now) const {
--- a/beamhill/dispatch/stalled_vms.h
+++ b/beamhill/dispatch/stalled_vms.h
@@ -5,8 +5,8 @@
 // Reads no clock and does no I/O. The executors detect the stalls.
 //
 //   StalledVms stalls;
-//   stalls.Report("vm-3", status.incarnation, status.stalled, now);
-//   stalls.Compare(stalled_vms, answering_vms);
+//   stalls.Report("vm-3", status.incarnation, status.stalled, now, "web");
+//   stalls.Compare(stalled_vms, answering_vms, "web");
 //   if (stalls.Avoids("vm-3") && !stalls.ProbeIsDue("vm-3", now)) ...
 #ifndef BEAMHILL_DISPATCH_STALLED_VMS_H_
 #define BEAMHILL_DISPATCH_STALLED_VMS_H_
@@ -14,6 +14,7 @@
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "beamhill/base/time.h"
@@ -24,21 +25,23 @@
 class StalledVms {
  public:
   // Records what the VM's executor reports about this incarnation of the
-  // runner. Returns whether this has changed. Forgets everything about an
-  // earlier incarnation.
+  // service's runner. Returns whether this has changed. Forgets everything
+  // about an earlier incarnation.
   bool Report(const std::string& vm, const std::string& incarnation,
-              bool stalled, TimePoint now);
-  // Decides whether work is kept off stalled VMs, by the numbers of VMs that
-  // are stalled and that answer, stalled ones included. If more than a third
-  // are stalled, the fault is not in single VMs, and all of them stay in use.
-  // Returns whether the decision has changed.
-  bool Compare(size_t stalled, size_t answering);
+              bool stalled, TimePoint now, const std::string& service = "");
+  // Decides whether work is kept off the service's stalled VMs, by the numbers
+  // of its VMs that are stalled and that answer, stalled ones included. If more
+  // than a third are stalled, the fault is not in single VMs, and all of them
+  // stay in use. Returns whether the decision has changed.
+  bool Compare(size_t stalled, size_t answering,
+               const std::string& service = "");
 
   bool empty() const { return stalls_.empty(); }
   bool Has(const std::string& vm) const { return stalls_.count(vm) > 0; }
-  bool too_many() const { return too_many_; }
+  // Services of which too many VMs are stalled.
+  const std::set<std::string>& too_many() const { return too_many_; }
   // Whether the VM is stalled and work is kept off it.
-  bool Avoids(const std::string& vm) const { return !too_many_ && Has(vm); }
+  bool Avoids(const std::string& vm) const;
   // Time since the stall was first reported; zero if there is none.
   Duration Age(const std::string& vm, TimePoint now) const;
 
@@ -58,6 +61,7 @@
     TimePoint began{};
   };
   struct Stall {
+    std::string service;
     std::string incarnation;
     TimePoint since{};
     Duration probe_delay{};
@@ -66,7 +70,7 @@
   };
 
   std::map<std::string, Stall> stalls_;  // By VM.
-  bool too_many_ = false;
+  std::set<std::string> too_many_;
 };
 
 }  // namespace beamhill
--- a/beamhill/dispatch/stalled_vms_test.cc
+++ b/beamhill/dispatch/stalled_vms_test.cc
@@ -64,5 +64,19 @@
   EXPECT_TRUE(stalls.Avoids("vm-1"));
 }
 
+// Guards against a common fault of a small service that is hidden by the VMs of
+// a large one, and against one that keeps the others' work on stalled VMs.
+TEST(StalledVmsTest, ServicesAreComparedOneByOne) {
+  StalledVms stalls;
+  stalls.Report("vm-1", "one", true, kBegin, "small");
+  stalls.Report("vm-2", "one", true, kBegin, "large");
+  EXPECT_TRUE(stalls.Compare(1, 2, "small"));
+  EXPECT_FALSE(stalls.Compare(1, 60, "large"));
+  EXPECT_FALSE(stalls.Avoids("vm-1"));
+  EXPECT_TRUE(stalls.Avoids("vm-2"));
+  EXPECT_TRUE(stalls.Compare(0, 0, "small"));
+  EXPECT_TRUE(stalls.Avoids("vm-1"));
+}
+
 }  // namespace
 }  // namespace beamhill
