--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -26,8 +26,6 @@
 // A task that has run before and for which no VM can be reserved waits this
 // long until another one is moved for it.
 constexpr Duration kRoomMakingWait = std::chrono::milliseconds(1000);
-// Time for the moved task to end and for the waiting one to start.
-constexpr Duration kRoomMakingInterval = std::chrono::milliseconds(1000);
 
 bool HasLabel(const VmStatus& status, const std::string& label) {
   return label.empty() || std::find(status.labels.begin(), status.labels.end(),
@@ -107,9 +105,18 @@
   for (const auto& [id, job] : jobs_) CollectLongRunningWaits(*job, now, waits);
   std::sort(waits.begin(), waits.end());
   const size_t most = 1 + vms_.size() / kReservedVmsDivisor;
+  for (auto it = room_moves_.begin(); it != room_moves_.end();) {
+    const bool ended = vms_[it->first].held.count(it->second.run) == 0;
+    it = ended ? room_moves_.erase(it) : std::next(it);
+  }
+  size_t rooms = room_moves_.size();  // For as many of the first waits.
   for (const LongRunningWait& wait : waits) {
-    if (reserved_capacity_.size() >= most) break;
+    if (reserved_capacity_.size() + room_moves_.size() >= most) break;
     if (ReserveVmFor(*wait.job, *wait.step)) continue;
+    if (rooms > 0) {
+      --rooms;
+      continue;
+    }
     if (!wait.first_run && now - wait.since >= kRoomMakingWait) {
       MakeRoomFor(*wait.job, *wait.step, now);
     }
@@ -143,7 +150,6 @@
 
 void Dispatcher::MakeRoomFor(const Job& job, const WorkflowStep& step,
                              TimePoint now) {
-  if (now - room_made_at_ < kRoomMakingInterval) return;
   std::vector<RoomOnVm> rooms;
   std::vector<std::pair<std::string, std::vector<RunRef>>> runs;  // By VM.
   for (const auto& [name, vm] : vms_) {
@@ -152,7 +158,8 @@
         status.incarnation.empty() || IsEvacuated(vm) ||
         status.service != job.progress.workflow().service ||
         health_.IsQuarantined(name) || reserved_capacity_.count(name) > 0 ||
-        stalls_.Avoids(name) || !HasLabel(status, step.required_label)) {
+        room_moves_.count(name) > 0 || stalls_.Avoids(name) ||
+        !HasLabel(status, step.required_label)) {
       continue;
     }
     RoomOnVm& room = rooms.emplace_back();
@@ -172,6 +179,7 @@
     }
   }
   no_room_.clear();
+  std::string target;
   const auto may_move = [&](const RoomMaker& move) {
     const auto& [name, movable] = runs[move.vm];
     const TaskRef& ref = movable[move.task].task;
@@ -181,16 +189,19 @@
         std::max<size_t>(1, its_step.max_unavailable)) {
       return false;
     }
-    std::string target;
     const Vm* vm =
         ChooseVm(other, its_step, {ref.round, ref.step}, name, now, &target);
-    return vm != nullptr && target != name;
+    return vm != nullptr && target != name &&
+           std::none_of(
+               room_moves_.begin(), room_moves_.end(), [&](const auto& entry) {
+                 return entry.first == target || entry.second.target == target;
+               });
   };
   const auto move = ChooseRoomMaker(rooms, step.each, may_move);
   if (!move) return;
-  room_made_at_ = now;
   const auto& [name, movable] = runs[move->vm];
   const RunRef& run = movable[move->task];
+  room_moves_[name] = {run, target};
   MigrateRun(name, vms_[name], *Find(run.task.workflow), run,
              "makes room for a long-running task", now);
 }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -449,7 +449,7 @@
   TimePoint idle_refreshed_at_{};
   TimePoint layout_refreshed_at_{};
   TimePoint long_running_refreshed_at_{};
-  TimePoint room_made_at_{};
+  std::map<std::string, dispatch_internal::RoomMove> room_moves_;  // By VM.
   Evacuations evacuations_;
   TimePoint halls_evacuated_at_{};
   // Capacity reserved for a long-running task, by VM.
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -97,6 +97,12 @@
   std::vector<RunRef> runs;
 };
 
+// A long-running task that is being moved to make room for another one.
+struct RoomMove {
+  RunRef run;
+  std::string target;  // The VM that has room for it.
+};
+
 // A run that was ordered on a VM and is not known to be over.
 struct HeldRun {
   Resources amount;  // Without the processor time of a best-effort task.
