Stalls: no task moves without end, and no VM stays out of use unprobed

A task is moved twice now; then it stays, and the VM is probed beside it. - A VM that was emptied is probed by short work only. With only long-running work it stayed out of use. A long-running task may start there once a probe has been due for 8 s, if no other VM has room for it. - A probe that gains less than a percent in 1.5 s fails, so VMs of a service with tasks of minutes stayed out of use. A probe lasts for 3 % of the run time that is expected, 1.5 s at least.

A long-running task that has to leave a stalled VM is never moved to one.

Measured: TaskIsMovedOffStalledVmsTwice, LongRunningTaskProbesAVmThatNothingElseProbes and ProbeOfALongTaskLastsForSomePercent failed before. FailedProbesAreMovedAndRepeated- WithGrowingDelay and GangsAndLongRunningTasksAreNoProbes pass unchanged.

--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -28,6 +28,8 @@
 // Cost of a VM whose runner is still warming up: no more than
 // kNewServingCost, as it is temporary.
 constexpr double kColdVmCost = 3;
+// Cost of a stalled VM to a long-running task: more than all others together.
+constexpr double kStalledVmCost = 1000;
 // Work that ends after this multiple of its objective has no value left.
 constexpr int kLateFactor = 3;
 // A step that asks for more than 1/4 of a service's processors is assumed to
@@ -379,6 +381,7 @@
     }
     if (vm_name == avoid) cost += kAvoidedVmCost;
     if (vm.cold) cost += kColdVmCost;
+    if (step.long_running && stalls_.Avoids(vm_name)) cost += kStalledVmCost;
     if (best == nullptr || cost < best_cost) {
       best = &vm;
       best_cost = cost;
@@ -397,7 +400,9 @@
   vm.held[{ref, run}].since = now;
   vm.last_start = now;
   if (stalls_.Avoids(name)) {
-    stalls_.BeginProbe(name, {ref, run}, now);
+    vm.held[{ref, run}].probes_stall = true;
+    stalls_.BeginProbe(name, {ref, run}, now,
+                       job.progress.ExpectedRun(ref.step));
     LogDecision(ref.workflow, "vm_probed", name + ", one run is started");
   }
   job.idle_since.reset();
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -76,6 +76,8 @@
   held.image = step.image;
   held.tail_target = step.tail_target;
   held.long_running = step.long_running;
+  held.stays_on_stalled = job.progress.At(run.task).stall_moves >=
+                          dispatch_internal::kMaxStallMoves;
   if (step.best_effort) {
     std::swap(held.best_effort_cpu, held.amount.cpu_millis);
     const bool added = vm.best_effort.count(step.image) == 0;
--- a/beamhill/dispatch/dispatch_stalls.cc
+++ b/beamhill/dispatch/dispatch_stalls.cc
@@ -127,12 +127,16 @@
 
 bool Dispatcher::MayProbeStall(const std::string& name, const Vm& vm,
                                const WorkflowStep& step, TimePoint now) const {
-  if (!dispatch_internal::MayProbe(step) || !stalls_.ProbeIsDue(name, now)) {
-    return false;
-  }
-  return std::all_of(vm.held.begin(), vm.held.end(), [](const auto& entry) {
-    return entry.second.long_running;
-  });
+  // A long-running task can't be moved away at once if the probe fails, and is
+  // the probe only if there is no other work.
+  const bool long_running = step.long_running && !step.gang;
+  const bool due = dispatch_internal::MayProbe(step)
+                       ? stalls_.ProbeIsDue(name, now)
+                       : long_running && stalls_.ProbeIsOverdue(name, now);
+  return due &&
+         std::all_of(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
+           return entry.second.long_running || entry.second.stays_on_stalled;
+         });
 }
 
 // One member of a gang holds up all others; when it is stopped, the runners end
@@ -145,7 +149,10 @@
     if (probe && run == *probe) continue;
     Job* job = Find(run.task.workflow);
     if (job == nullptr || !MayStart(*job)) continue;
-    ++job->progress.At(run.task).stall_moves;
+    if (!held.probes_stall) {
+      if (held.stays_on_stalled) continue;
+      ++job->progress.At(run.task).stall_moves;
+    }
     MigrateRun(name, vm, *job, run, "no progress there", now);
   }
 }
@@ -174,7 +181,7 @@
   const WorkflowStep& step = job.progress.workflow().steps[ref.step];
   std::string name;
   Vm* vm = ChooseVm(job, step, {ref.round, ref.step}, "", now, &name);
-  if (vm == nullptr) return false;
+  if (vm == nullptr || stalls_.Avoids(name)) return false;
   const RunRef run{ref, NextRun(job.progress.At(ref))};
   Hold(*vm, run, job, step);
   reserved.emplace_back(name, run);
--- a/beamhill/dispatch/dispatch_stalls_test.cc
+++ b/beamhill/dispatch/dispatch_stalls_test.cc
@@ -1,6 +1,7 @@
 // Tests how the Dispatcher treats VMs whose runners answer calls while their
 // tasks make no progress.
 #include <set>
+#include <tuple>
 
 #include "beamhill/dispatch/dispatcher_test_base.h"
 
@@ -328,6 +329,65 @@
   EXPECT_THAT(Advance(seconds(1)).stops, Each(Key(busy))) << "one of two";
 }
 
+// Guards against a task that is moved without end: one that slows down by
+// itself looks like a stall on each VM that it has to itself.
+TEST_F(DispatcherStallsTest, TaskIsMovedOffStalledVmsTwice) {
+  ConnectVms(7);
+  const auto first = Start(SingleStepWorkflow("a", 1, 2));
+  ASSERT_THAT(first, SizeIs(1));
+  auto [vm, run] = first[0];
+  for (int i = 0; i < 2; ++i) {
+    SetStalled(vm, true);
+    ASSERT_THAT(Tick().stops, testing::ElementsAre(Pair(vm, run)));
+    ReceiveStopped(vm, run);
+    const auto next = Advance(milliseconds(250)).starts;
+    ASSERT_THAT(next, SizeIs(1));
+    SetStalled(vm, false);
+    std::tie(vm, run) = next[0];
+  }
+  SetStalled(vm, true);
+  EXPECT_THAT(Advance(seconds(1)).stops, IsEmpty());
+  // The VM is still probed, beside the task.
+  EXPECT_THAT(Start(SingleStepWorkflow("b", 40, 2)),
+              testing::Contains(Key(vm)));
+}
+
+// Guards against a VM that stays out of use after its stall, as there is only
+// long-running work.
+TEST_F(DispatcherStallsTest, LongRunningTaskProbesAVmThatNothingElseProbes) {
+  ConnectVms(3);
+  SetStalled("vm-1", true);
+  EXPECT_THAT(Start(LongRunningWorkflow("s", 9)), SizeIs(8));
+  EXPECT_THAT(Advance(seconds(7)).starts, IsEmpty());
+  const auto probe = Advance(seconds(4)).starts;
+  ASSERT_THAT(probe, testing::ElementsAre(Key("vm-1")));
+  EXPECT_GE(decisions_["vm_probed"], 1);
+  EXPECT_THAT(Advance(seconds(10)).stops, IsEmpty()) << "no room elsewhere";
+}
+
+// It must not be preferred to a VM that is known to work.
+TEST_F(DispatcherStallsTest, LongRunningTaskGoesToAVmThatProgresses) {
+  ConnectVms(4);
+  SetStalled("vm-1", true);
+  Advance(seconds(20));
+  EXPECT_THAT(Start(LongRunningWorkflow("s", 12)),
+              Each(Key(Not(std::string("vm-1")))));
+}
+
+// Guards against a VM that stays out of use if its service has long tasks only:
+// a percent of one takes longer than a probe used to last.
+TEST_F(DispatcherStallsTest, ProbeOfALongTaskLastsForSomePercent) {
+  ConnectVms(4);
+  SetStalled("vm-1", true);
+  Workflow workflow = SingleStepWorkflow("a", 20, 2);
+  workflow.steps[0].declared_run = seconds(300);
+  Start(workflow);
+  const auto probe = Advance(seconds(1)).starts;
+  ASSERT_THAT(probe, testing::ElementsAre(Key("vm-1")));
+  EXPECT_THAT(Advance(milliseconds(8750)).stops, IsEmpty());
+  EXPECT_THAT(Advance(milliseconds(250)).stops, testing::ElementsAre(probe[0]));
+}
+
 // The status may change while there is no link, or with the runner.
 TEST_F(DispatcherStallsTest, InventoryReplacesWhatWasKnown) {
   ConnectVms(4);
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -111,6 +111,10 @@
   std::string image;
   Duration tail_target{};  // Positive for serving tasks.
   bool long_running = false;
+  // Whether it was started to find out whether the stalled VM progresses, and
+  // whether its task was moved off stalled VMs so often that it stays.
+  bool probes_stall = false;
+  bool stays_on_stalled = false;
   double best_effort_rank = 0;  // As last sent to the executor.
   std::optional<TimePoint> starved_since;
   TimePoint since{};  // When it was ordered; zero for an adopted run.
@@ -197,6 +201,9 @@
   bool has_new_image = false;
 };
 
+// A task that seems to stall on a third VM may be slow for reasons of its own.
+inline constexpr uint32_t kMaxStallMoves = 2;
+
 // Whether a run of the step may be the probe of a stalled VM. Gangs and
 // long-running tasks can't be moved away at once if the probe fails.
 inline bool MayProbe(const WorkflowStep& step) {
--- a/beamhill/dispatch/stalled_vms.cc
+++ b/beamhill/dispatch/stalled_vms.cc
@@ -8,8 +8,13 @@
 
 constexpr Duration kFirstProbeDelay = std::chrono::milliseconds(1000);
 constexpr Duration kMaxProbeDelay = std::chrono::milliseconds(4000);
-// Within this time an executor finds that a run progresses and reports it.
+// Within this time an executor finds that a short run progresses and reports
+// it.
 constexpr Duration kProbeTime = std::chrono::milliseconds(1500);
+// A probe takes this share of its run's time at least, in which it gains two
+// percent on a VM that works.
+constexpr double kProbeShare = 0.03;
+constexpr Duration kProbeOverdue = std::chrono::milliseconds(8000);
 // With more than 1/3 of the VMs stalled, the rest could not take their work.
 constexpr size_t kTooManyDivisor = 3;
 
@@ -55,10 +60,17 @@
          now >= it->second.next_probe_at;
 }
 
+bool StalledVms::ProbeIsOverdue(const std::string& vm, TimePoint now) const {
+  return ProbeIsDue(vm, now - kProbeOverdue);
+}
+
 void StalledVms::BeginProbe(const std::string& vm, const RunRef& run,
-                            TimePoint now) {
+                            TimePoint now, Duration expected) {
   const auto it = stalls_.find(vm);
-  if (it != stalls_.end()) it->second.probe = Probe{run, now};
+  if (it == stalls_.end()) return;
+  const auto share =
+      std::chrono::duration_cast<Duration>(expected * kProbeShare);
+  it->second.probe = Probe{run, now, std::max(kProbeTime, share)};
 }
 
 std::optional<RunRef> StalledVms::ProbeOn(const std::string& vm) const {
@@ -70,7 +82,7 @@
 bool StalledVms::ProbeHasFailed(const std::string& vm, TimePoint now) const {
   const auto it = stalls_.find(vm);
   return it != stalls_.end() && it->second.probe &&
-         now - it->second.probe->began >= kProbeTime;
+         now - it->second.probe->began >= it->second.probe->time;
 }
 
 void StalledVms::EndProbe(const std::string& vm, TimePoint now) {
--- a/beamhill/dispatch/stalled_vms.h
+++ b/beamhill/dispatch/stalled_vms.h
@@ -47,7 +47,11 @@
 
   // Whether a probe may be started on the VM. False while one runs there.
   bool ProbeIsDue(const std::string& vm, TimePoint now) const;
-  void BeginProbe(const std::string& vm, const RunRef& run, TimePoint now);
+  // Whether one is due for so long that there seems to be no suitable run.
+  bool ProbeIsOverdue(const std::string& vm, TimePoint now) const;
+  // `expected`: how long the run is expected to last.
+  void BeginProbe(const std::string& vm, const RunRef& run, TimePoint now,
+                  Duration expected = Duration(0));
   std::optional<RunRef> ProbeOn(const std::string& vm) const;
   // Whether the VM's probe has run long enough to have shown progress.
   bool ProbeHasFailed(const std::string& vm, TimePoint now) const;
@@ -59,6 +63,7 @@
   struct Probe {
     RunRef run;
     TimePoint began{};
+    Duration time{};  // After which it has failed.
   };
   struct Stall {
     std::string service;
