--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -106,12 +106,16 @@
   std::sort(waits.begin(), waits.end());
   const size_t most = 1 + vms_.size() / kReservedVmsDivisor;
   for (auto it = room_moves_.begin(); it != room_moves_.end();) {
-    const bool ended = vms_[it->first].held.count(it->second.run) == 0;
-    it = ended ? room_moves_.erase(it) : std::next(it);
+    if (vms_[it->first].held.count(it->second.run) == 0) {
+      it = room_moves_.erase(it);
+      continue;
+    }
+    reserved_capacity_[it->first] = it->second.need;
+    ++it;
   }
   size_t rooms = room_moves_.size();  // For as many of the first waits.
   for (const LongRunningWait& wait : waits) {
-    if (reserved_capacity_.size() + room_moves_.size() >= most) break;
+    if (reserved_capacity_.size() >= most) break;
     if (ReserveVmFor(*wait.job, *wait.step)) continue;
     if (rooms > 0) {
       --rooms;
@@ -201,7 +205,8 @@
   if (!move) return;
   const auto& [name, movable] = runs[move->vm];
   const RunRef& run = movable[move->task];
-  room_moves_[name] = {run, target};
+  room_moves_[name] = {run, target, step.each};
+  reserved_capacity_[name] = step.each;
   MigrateRun(name, vms_[name], *Find(run.task.workflow), run,
              "makes room for a long-running task", now);
 }
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -101,6 +101,7 @@
 struct RoomMove {
   RunRef run;
   std::string target;  // The VM that has room for it.
+  Resources need;      // Of the task that waits.
 };
 
 // A run that was ordered on a VM and is not known to be over.
