--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -27,11 +27,6 @@
 // long until another one is moved for it.
 constexpr Duration kRoomMakingWait = std::chrono::milliseconds(1000);
 
-bool HasLabel(const VmStatus& status, const std::string& label) {
-  return label.empty() || std::find(status.labels.begin(), status.labels.end(),
-                                    label) != status.labels.end();
-}
-
 }  // namespace
 
 void Dispatcher::RefreshLongRunning(TimePoint now) {
@@ -116,97 +111,92 @@
   size_t rooms = room_moves_.size();  // For as many of the first waits.
   for (const LongRunningWait& wait : waits) {
     if (reserved_capacity_.size() >= most) break;
-    if (ReserveVmFor(*wait.job, *wait.step)) continue;
+    if (ReserveVmFor(wait)) continue;
     if (rooms > 0) {
       --rooms;
       continue;
     }
     if (!wait.first_run && now - wait.since >= kRoomMakingWait) {
-      MakeRoomFor(*wait.job, *wait.step, now);
+      MakeRoomFor(wait, now);
     }
   }
 }
 
+bool Dispatcher::MayBeReserved(const std::string& name, const Vm& vm,
+                               const LongRunningWait& wait) const {
+  const VmStatus& status = vm.status;
+  const std::string& label = wait.step->required_label;
+  return vm.linked && vm.has_inventory && !status.draining &&
+         !status.incarnation.empty() && !IsEvacuated(vm) &&
+         status.service == wait.job->progress.workflow().service &&
+         !health_.IsQuarantined(name) && reserved_capacity_.count(name) == 0 &&
+         !stalls_.Avoids(name) &&
+         (label.empty() || std::find(status.labels.begin(), status.labels.end(),
+                                     label) != status.labels.end());
+}
+
 // Chooses the VM with most processor time beside its long-running tasks: this
 // choice is the most stable over time.
-bool Dispatcher::ReserveVmFor(const Job& job, const WorkflowStep& step) {
+bool Dispatcher::ReserveVmFor(const LongRunningWait& wait) {
+  const Resources& need = wait.step->each;
   const std::string* best = nullptr;
   int64_t most = 0;
   for (const auto& [name, vm] : vms_) {
-    const VmStatus& status = vm.status;
-    if (!vm.linked || !vm.has_inventory || status.draining ||
-        status.incarnation.empty() || IsEvacuated(vm) ||
-        status.service != job.progress.workflow().service ||
-        health_.IsQuarantined(name) || reserved_capacity_.count(name) > 0) {
-      continue;
-    }
-    const int64_t left = status.capacity.cpu_millis - vm.long_running_cpu;
-    if (left < step.each.cpu_millis) continue;
-    if (!HasLabel(status, step.required_label)) continue;
-    if (best != nullptr && left <= most) continue;
-    if (stalls_.Avoids(name)) continue;
+    const int64_t left = vm.status.capacity.cpu_millis - vm.long_running_cpu;
+    if (left < need.cpu_millis || (best != nullptr && left <= most)) continue;
+    if (!MayBeReserved(name, vm, wait)) continue;
     best = &name;
     most = left;
   }
-  if (best != nullptr) reserved_capacity_[*best] = step.each;
+  if (best != nullptr) reserved_capacity_[*best] = need;
   return best != nullptr;
 }
 
-void Dispatcher::MakeRoomFor(const Job& job, const WorkflowStep& step,
-                             TimePoint now) {
+void Dispatcher::MakeRoomFor(const LongRunningWait& wait, TimePoint now) {
   std::vector<RoomOnVm> rooms;
   std::vector<std::pair<std::string, std::vector<RunRef>>> runs;  // By VM.
+  const auto is_movable = [&](const Vm& vm, const RunRef& run) {
+    const Job* job = Find(run.task.workflow);
+    if (job == nullptr || !MayStart(*job) || vm.stops.Has(run)) return false;
+    const Workflow& workflow = job->progress.workflow();
+    return !workflow.steps[run.task.step].gang && !workflow.policy.needs_advice;
+  };
   for (const auto& [name, vm] : vms_) {
-    const VmStatus& status = vm.status;
-    if (!vm.linked || !vm.has_inventory || status.draining ||
-        status.incarnation.empty() || IsEvacuated(vm) ||
-        status.service != job.progress.workflow().service ||
-        health_.IsQuarantined(name) || reserved_capacity_.count(name) > 0 ||
-        room_moves_.count(name) > 0 || stalls_.Avoids(name) ||
-        !HasLabel(status, step.required_label)) {
-      continue;
-    }
+    if (!MayBeReserved(name, vm, wait)) continue;
     RoomOnVm& room = rooms.emplace_back();
-    room.room = status.capacity;
-    runs.emplace_back(name, std::vector<RunRef>());
+    room.room = vm.status.capacity;
+    auto& movable = runs.emplace_back(name, std::vector<RunRef>()).second;
     for (const auto& [run, held] : vm.held) {
       if (!held.long_running) continue;
       room.room = room.room - held.amount;
-      const Job* other = Find(run.task.workflow);
-      if (other == nullptr || !MayStart(*other) || vm.stops.Has(run)) continue;
-      const Workflow& workflow = other->progress.workflow();
-      if (workflow.steps[run.task.step].gang || workflow.policy.needs_advice) {
-        continue;
-      }
+      if (!is_movable(vm, run)) continue;
       room.tasks.push_back(held.amount);
-      runs.back().second.push_back(run);
+      movable.push_back(run);
     }
   }
   no_room_.clear();
   std::string target;
+  const auto is_in_use = [&](const auto& entry) {
+    return entry.first == target || entry.second.target == target;
+  };
   const auto may_move = [&](const RoomMaker& move) {
     const auto& [name, movable] = runs[move.vm];
     const TaskRef& ref = movable[move.task].task;
-    const Job& other = *Find(ref.workflow);
-    const WorkflowStep& its_step = other.progress.workflow().steps[ref.step];
-    if (TasksAway(other, ref, now) >=
-        std::max<size_t>(1, its_step.max_unavailable)) {
-      return false;
-    }
+    const Job& job = *Find(ref.workflow);
+    const WorkflowStep& step = job.progress.workflow().steps[ref.step];
+    const size_t limit = std::max<size_t>(1, step.max_unavailable);
+    if (TasksAway(job, ref, now) >= limit) return false;
     const Vm* vm =
-        ChooseVm(other, its_step, {ref.round, ref.step}, name, now, &target);
+        ChooseVm(job, step, {ref.round, ref.step}, name, now, &target);
     return vm != nullptr && target != name &&
-           std::none_of(
-               room_moves_.begin(), room_moves_.end(), [&](const auto& entry) {
-                 return entry.first == target || entry.second.target == target;
-               });
+           std::none_of(room_moves_.begin(), room_moves_.end(), is_in_use);
   };
-  const auto move = ChooseRoomMaker(rooms, step.each, may_move);
+  const auto move = ChooseRoomMaker(rooms, wait.step->each, may_move);
   if (!move) return;
   const auto& [name, movable] = runs[move->vm];
   const RunRef& run = movable[move->task];
-  room_moves_[name] = {run, target, step.each};
-  reserved_capacity_[name] = step.each;
+  room_moves_[name] = {run, target, wait.step->each};
+  reserved_capacity_[name] = wait.step->each;
   MigrateRun(name, vms_[name], *Find(run.task.workflow), run,
              "makes room for a long-running task", now);
 }
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -335,8 +335,8 @@
   bool MayProbeStall(const std::string& name, const Vm& vm,
                      const WorkflowStep& step, TimePoint now) const;
   void MigrateOffStalled(const std::string& name, Vm& vm, TimePoint now);
-  // Long-running tasks of the step that wait, are being stopped or start up.
-  // The task itself does not count while it starts up.
+  // Long-running tasks of the step that don't run; the task itself may start
+  // up.
   size_t TasksAway(const Job& job, const TaskRef& ref, TimePoint now) const;
   void MoveLongRunningOffStalled(TimePoint now);
 
@@ -344,15 +344,15 @@
   void RefreshLongRunning(TimePoint now);
   // Ends the quarantine of VMs on which a long-running task has kept running.
   void PassLongRunningProbes(TimePoint now);
-  // Collects the job's long-running tasks that have waited for too long, and
-  // updates its `down_since`.
+  // Collects long-running tasks that wait too long, and updates `down_since`.
   void CollectLongRunningWaits(Job& job, TimePoint now,
                                std::vector<LongRunningWait>& waits);
-  // Reserves a VM's capacity for each long-running task that waits too long.
   void ReserveForLongRunning(TimePoint now);
-  bool ReserveVmFor(const Job& job, const WorkflowStep& step);
-  // Moves another long-running task if that makes room for one of the step.
-  void MakeRoomFor(const Job& job, const WorkflowStep& step, TimePoint now);
+  bool MayBeReserved(const std::string& name, const Vm& vm,
+                     const LongRunningWait& wait) const;
+  bool ReserveVmFor(const LongRunningWait& wait);
+  // Moves another long-running task if that makes room for the one that waits.
+  void MakeRoomFor(const LongRunningWait& wait, TimePoint now);
   // Whether the step fits beside the VM's reservation, if there is one.
   bool FitsBesideReservation(const std::string& name, const Vm& vm,
                              const WorkflowStep& step) const;
