--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -26,6 +26,18 @@
 // A task that has run before and for which no VM can be reserved waits this
 // long until another one is moved for it.
 constexpr Duration kRoomMakingWait = std::chrono::milliseconds(1000);
+// Time for the moved task to end, for short tasks beside it to end and for both
+// to start.
+constexpr Duration kRoomMakingTime = std::chrono::milliseconds(2500);
+
+// Whether a task of the workflow that the room was made for has started there.
+bool RoomIsUsed(const dispatch_internal::Vm& vm,
+                const dispatch_internal::RoomMove& move) {
+  return std::any_of(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
+    return entry.first.task.workflow == move.workflow &&
+           entry.second.since >= move.made_at;
+  });
+}
 
 }  // namespace
 
@@ -100,22 +112,25 @@
   for (const auto& [id, job] : jobs_) CollectLongRunningWaits(*job, now, waits);
   std::sort(waits.begin(), waits.end());
   const size_t most = 1 + vms_.size() / kReservedVmsDivisor;
+  std::map<std::string, size_t> rooms;  // That are being made, by workflow.
   for (auto it = room_moves_.begin(); it != room_moves_.end();) {
-    if (vms_[it->first].held.count(it->second.run) == 0) {
+    const auto& [name, move] = *it;
+    if (now - move.made_at >= kRoomMakingTime || RoomIsUsed(vms_[name], move)) {
       it = room_moves_.erase(it);
       continue;
     }
-    reserved_capacity_[it->first] = it->second.need;
+    reserved_capacity_[name] = move.need;
+    ++rooms[move.workflow];
     ++it;
   }
-  size_t rooms = room_moves_.size();  // For as many of the first waits.
   for (const LongRunningWait& wait : waits) {
     if (reserved_capacity_.size() >= most) break;
-    if (ReserveVmFor(wait)) continue;
-    if (rooms > 0) {
-      --rooms;
+    size_t& made = rooms[wait.job->progress.workflow().id];
+    if (made > 0) {
+      --made;
       continue;
     }
+    if (ReserveVmFor(wait)) continue;
     if (!wait.first_run && now - wait.since >= kRoomMakingWait) {
       MakeRoomFor(wait, now);
     }
@@ -195,15 +210,25 @@
   if (!move) return;
   const auto& [name, movable] = runs[move->vm];
   const RunRef& run = movable[move->task];
-  room_moves_[name] = {run, target, wait.step->each};
+  room_moves_[name] = {run, target, wait.job->progress.workflow().id,
+                       wait.step->each, now};
   reserved_capacity_[name] = wait.step->each;
   MigrateRun(name, vms_[name], *Find(run.task.workflow), run,
              "makes room for a long-running task", now);
 }
 
 bool Dispatcher::FitsBesideReservation(const std::string& name, const Vm& vm,
+                                       const Job& job,
                                        const WorkflowStep& step) const {
-  if (step.long_running) return true;
+  if (step.long_running) {
+    const std::string& id = job.progress.workflow().id;
+    return std::none_of(
+        room_moves_.begin(), room_moves_.end(), [&](const auto& entry) {
+          const auto& [source, move] = entry;
+          return (source == name && move.workflow != id) ||
+                 (move.target == name && move.run.task.workflow != id);
+        });
+  }
   const auto reservation = reserved_capacity_.find(name);
   if (reservation == reserved_capacity_.end()) return true;
   const Resources left = vm.status.capacity - vm.used - reservation->second;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -355,7 +355,7 @@
   void MakeRoomFor(const LongRunningWait& wait, TimePoint now);
   // Whether the step fits beside the VM's reservation, if there is one.
   bool FitsBesideReservation(const std::string& name, const Vm& vm,
-                             const WorkflowStep& step) const;
+                             const Job& job, const WorkflowStep& step) const;
   // Whether the VM's health allows the task.
   bool IsHealthyFor(const std::string& name, const Vm& vm, const Job& job,
                     const WorkflowStep& step, TimePoint now) const;
