Long-running: one move a second again, and bounded searches

A moved task waits itself, and others take the gap that it was to fill.

At most four waiting tasks a second are searched room for: each search compares all VMs for each task that might move, and used to be repeated each 100 ms while none could.

--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -26,18 +26,11 @@
 // A task that has run before and for which no VM can be reserved waits this
 // long until another one is moved for it.
 constexpr Duration kRoomMakingWait = std::chrono::milliseconds(1000);
-// Time for the moved task to end, for short tasks beside it to end and for both
-// to start.
-constexpr Duration kRoomMakingTime = std::chrono::milliseconds(2500);
-
-// Whether a task of the workflow that the room was made for has started there.
-bool RoomIsUsed(const dispatch_internal::Vm& vm,
-                const dispatch_internal::RoomMove& move) {
-  return std::any_of(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
-    return entry.first.task.workflow == move.workflow &&
-           entry.second.since >= move.made_at;
-  });
-}
+// Time for the moved task to end and for the waiting one to start. More moves
+// at once take each other's room.
+constexpr Duration kRoomMakingInterval = std::chrono::milliseconds(1000);
+// Each search compares all VMs for each task that might move.
+constexpr int kMaxRoomSearches = 4;
 
 }  // namespace
 
@@ -112,28 +105,15 @@
   for (const auto& [id, job] : jobs_) CollectLongRunningWaits(*job, now, waits);
   std::sort(waits.begin(), waits.end());
   const size_t most = 1 + vms_.size() / kReservedVmsDivisor;
-  std::map<std::string, size_t> rooms;  // That are being made, by workflow.
-  for (auto it = room_moves_.begin(); it != room_moves_.end();) {
-    const auto& [name, move] = *it;
-    if (now - move.made_at >= kRoomMakingTime || RoomIsUsed(vms_[name], move)) {
-      it = room_moves_.erase(it);
-      continue;
-    }
-    reserved_capacity_[name] = move.need;
-    ++rooms[move.workflow];
-    ++it;
-  }
+  const bool seek_room = now - room_sought_at_ >= kRoomMakingInterval;
+  int searches = seek_room ? kMaxRoomSearches : 0;
   for (const LongRunningWait& wait : waits) {
     if (reserved_capacity_.size() >= most) break;
-    size_t& made = rooms[wait.job->progress.workflow().id];
-    if (made > 0) {
-      --made;
-      continue;
-    }
     if (ReserveVmFor(wait)) continue;
-    if (!wait.first_run && now - wait.since >= kRoomMakingWait) {
-      MakeRoomFor(wait, now);
-    }
+    if (wait.first_run || now - wait.since < kRoomMakingWait) continue;
+    if (searches <= 0) continue;
+    room_sought_at_ = now;
+    searches = MakeRoomFor(wait, now) ? 0 : searches - 1;
   }
 }
 
@@ -167,7 +147,7 @@
   return best != nullptr;
 }
 
-void Dispatcher::MakeRoomFor(const LongRunningWait& wait, TimePoint now) {
+bool Dispatcher::MakeRoomFor(const LongRunningWait& wait, TimePoint now) {
   std::vector<RoomOnVm> rooms;
   std::vector<std::pair<std::string, std::vector<RunRef>>> runs;  // By VM.
   const auto is_movable = [&](const Vm& vm, const RunRef& run) {
@@ -190,10 +170,6 @@
     }
   }
   no_room_.clear();
-  std::string target;
-  const auto is_in_use = [&](const auto& entry) {
-    return entry.first == target || entry.second.target == target;
-  };
   const auto may_move = [&](const RoomMaker& move) {
     const auto& [name, movable] = runs[move.vm];
     const TaskRef& ref = movable[move.task].task;
@@ -201,34 +177,23 @@
     const WorkflowStep& step = job.progress.workflow().steps[ref.step];
     const size_t limit = std::max<size_t>(1, step.max_unavailable);
     if (TasksAway(job, ref, now) >= limit) return false;
+    std::string target;
     const Vm* vm =
         ChooseVm(job, step, {ref.round, ref.step}, name, now, &target);
-    return vm != nullptr && target != name &&
-           std::none_of(room_moves_.begin(), room_moves_.end(), is_in_use);
+    return vm != nullptr && target != name;
   };
   const auto move = ChooseRoomMaker(rooms, wait.step->each, may_move);
-  if (!move) return;
+  if (!move) return false;
   const auto& [name, movable] = runs[move->vm];
   const RunRef& run = movable[move->task];
-  room_moves_[name] = {run, target, wait.job->progress.workflow().id,
-                       wait.step->each, now};
-  reserved_capacity_[name] = wait.step->each;
   MigrateRun(name, vms_[name], *Find(run.task.workflow), run,
              "makes room for a long-running task", now);
+  return true;
 }
 
 bool Dispatcher::FitsBesideReservation(const std::string& name, const Vm& vm,
-                                       const Job& job,
                                        const WorkflowStep& step) const {
-  if (step.long_running) {
-    const std::string& id = job.progress.workflow().id;
-    return std::none_of(
-        room_moves_.begin(), room_moves_.end(), [&](const auto& entry) {
-          const auto& [source, move] = entry;
-          return (source == name && move.workflow != id) ||
-                 (move.target == name && move.run.task.workflow != id);
-        });
-  }
+  if (step.long_running) return true;
   const auto reservation = reserved_capacity_.find(name);
   if (reservation == reserved_capacity_.end()) return true;
   const Resources left = vm.status.capacity - vm.used - reservation->second;
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -280,7 +280,7 @@
     return false;
   }
   if (step.best_effort && !HasBestEffortRoom(vm, job, step)) return false;
-  return FitsBesideReservation(name, vm, job, step) &&
+  return FitsBesideReservation(name, vm, step) &&
          IsHealthyFor(name, vm, job, step, now);
 }
 
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -352,10 +352,10 @@
                      const LongRunningWait& wait) const;
   bool ReserveVmFor(const LongRunningWait& wait);
   // Moves another long-running task if that makes room for the one that waits.
-  void MakeRoomFor(const LongRunningWait& wait, TimePoint now);
+  bool MakeRoomFor(const LongRunningWait& wait, TimePoint now);
   // Whether the step fits beside the VM's reservation, if there is one.
   bool FitsBesideReservation(const std::string& name, const Vm& vm,
-                             const Job& job, const WorkflowStep& step) const;
+                             const WorkflowStep& step) const;
   // Whether the VM's health allows the task.
   bool IsHealthyFor(const std::string& name, const Vm& vm, const Job& job,
                     const WorkflowStep& step, TimePoint now) const;
@@ -449,7 +449,7 @@
   TimePoint idle_refreshed_at_{};
   TimePoint layout_refreshed_at_{};
   TimePoint long_running_refreshed_at_{};
-  std::map<std::string, dispatch_internal::RoomMove> room_moves_;  // By VM.
+  TimePoint room_sought_at_{};
   Evacuations evacuations_;
   TimePoint halls_evacuated_at_{};
   // Capacity reserved for a long-running task, by VM.
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -97,16 +97,6 @@
   std::vector<RunRef> runs;
 };
 
-// A long-running task that is moved to make room for another one. Until both
-// have started again, no other workflow's long-running task may take the room.
-struct RoomMove {
-  RunRef run;
-  std::string target;    // The VM that has room for it.
-  std::string workflow;  // That the room is made for.
-  Resources need;
-  TimePoint made_at{};
-};
-
 // A run that was ordered on a VM and is not known to be over.
 struct HeldRun {
   Resources amount;  // Without the processor time of a best-effort task.
