Stalls: the bound of a step is computed once for all its rounds

FindOverdueRuns computed it for each round, and looked at all rounds each time: 16,000 tasks four times a second for a workflow of 20 rounds of 2 steps of 20 tasks. What is found is the same, in another order.

--- a/beamhill/dispatch/progress_bound.cc
+++ b/beamhill/dispatch/progress_bound.cc
@@ -53,19 +53,17 @@
 }
 
 void AppendOverdueRuns(const WorkflowProgress& progress, uint32_t round,
-                       uint32_t step, bool reliable, TimePoint now,
+                       uint32_t step, Duration max_time, TimePoint now,
                        std::vector<OverdueRun>& overdue) {
-  const auto max_time = MaxTimePerPercent(progress, step, reliable);
-  if (!max_time) return;
   const Workflow& workflow = progress.workflow();
   const int64_t cpu_millis = workflow.steps[step].each.cpu_millis;
   const Duration cpu =
-      Multiply(*max_time, static_cast<double>(cpu_millis) / kMillicoresPerCore);
+      Multiply(max_time, static_cast<double>(cpu_millis) / kMillicoresPerCore);
   const auto& tasks = progress.TasksOf(round, step);
   for (uint32_t i = 0; i < tasks.size(); ++i) {
     const WorkflowProgress::Task& task = tasks[i];
     if (task.phase != WorkflowProgress::Phase::kHeld) continue;
-    if (now - task.held_since < *max_time) continue;
+    if (now - task.held_since < max_time) continue;
     overdue.push_back(
         {{{workflow.id, round, step, i}, task.run}, task.vm, cpu});
   }
@@ -89,10 +87,13 @@
                                         bool reliable, TimePoint now) {
   std::vector<OverdueRun> overdue;
   const Workflow& workflow = progress.workflow();
-  for (uint32_t round = 0; round < workflow.rounds(); ++round) {
-    for (uint32_t step = 0; step < workflow.steps.size(); ++step) {
+  for (uint32_t step = 0; step < workflow.steps.size(); ++step) {
+    std::optional<Duration> max_time;
+    for (uint32_t round = 0; round < workflow.rounds(); ++round) {
       if (progress.StepDone(round, step)) continue;
-      AppendOverdueRuns(progress, round, step, reliable, now, overdue);
+      if (!max_time) max_time = MaxTimePerPercent(progress, step, reliable);
+      if (!max_time) break;
+      AppendOverdueRuns(progress, round, step, *max_time, now, overdue);
     }
   }
   return overdue;
--- a/beamhill/dispatch/progress_bound.h
+++ b/beamhill/dispatch/progress_bound.h
@@ -41,7 +41,7 @@
   Duration cpu_per_percent{};  // CPU time that a percent takes at most.
 };
 
-// Returns the overdue runs of the workflow, by round, step and index.
+// Returns the overdue runs of the workflow, by step, round and index.
 // `reliable`: whether expected run times are, see RunTimeEstimator::IsReliable.
 std::vector<OverdueRun> FindOverdueRuns(const WorkflowProgress& progress,
                                         bool reliable, TimePoint now);
