--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -98,7 +98,7 @@
     uint64_t highest_survived_run = 0;  // See OnStartSurvived.
     // The run that shared its trial with other workflows; 0 if none did.
     uint64_t shared_trial_run = 0;
-    std::string vm;                     // The VM that holds the task.
+    std::string vm;        // The VM that holds the task.
     std::string avoid_vm;  // The VM on which it failed or starved last.
     std::string checkpoint;
     // Number of runs that were stopped because their VM was stalled.
