Review case 3: a scheduler crashes while it takes the work over

A script: the owner of the work freezes, the settings change, and it wakes just after another scheduler's claim was stored. The new owner then answers the earlier one through a pointer that is null.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")"
+export PYTHONDONTWRITEBYTECODE=1
+exec python3 run.py
