--- a/review/3/run.py
+++ b/review/3/run.py
@@ -7,8 +7,7 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins"))
-from standins import (CANNOT_RUN, Deployment, run_script,  # noqa: E402
-                      service_settings)
+from standins import CANNOT_RUN, Deployment, run_script  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 FRONTS, SIDES = 4, 4
@@ -54,17 +53,13 @@
             self.end()
 
 
-async def cycle(deployment, freeze, version):
+async def cycle(deployment, freeze):
     owner = await deployment.wait_ready(15)
     if owner is None:
         return False
     await asyncio.sleep(SETTLE_S)
     if TROUBLE:
         freeze.begin(owner)
-    await asyncio.sleep(SETTLE_S)
-    deployment.record(f"operator: configuration {version}")
-    await deployment.store.put("op", "", "config",
-                               service_settings(version, 1000 + version))
     began = time.monotonic()
     while freeze.frozen and time.monotonic() - began < LONGEST_FREEZE_S:
         await asyncio.sleep(0.01)
@@ -86,10 +81,10 @@
                 ends[name] += 1
                 deployment.record(f"{name}: end {ends[name]} of its own")
         deployment.on_end = on_end
-        for number in range(CYCLES):
+        for _ in range(CYCLES):
             if time.monotonic() - deployment.began > LAST_CYCLE_S:
                 break
-            if not await cycle(deployment, freeze, number + 2):
+            if not await cycle(deployment, freeze):
                 return CANNOT_RUN
             often = [name for name, count in ends.items() if count >= TIMES]
             if len(often) >= MACHINES:
