Scheduler: results of relayed calls go only to the link that asked

What callers saw: a job was acknowledged and stored nowhere. All schedulers answered 410 for it. A cancellation could be answered "cancelled" in the same way, while the job ran on.

Cause: the owner kept the address of the Link on which a relayed call had arrived, and sent the result to whichever peer had a link at that address when the table answered. A link that is accepted after a peer restarts may get the address of the one before.

Change: every link has an id that is never used again within its process. Schedulers, entries and executors find their links by it, so that whatever outlives a callback can't name another link.

Related paths: answers to queries of the owner are sent at once on the link that asked. The entry's router clears what is open at a VM when its link goes; the agent's proxy does so for an entry. Entry and executor keep no address of a link beyond its life; they now use the id as well.

--- a/beamhill/entry/agent_links.cc
+++ b/beamhill/entry/agent_links.cc
@@ -47,7 +47,7 @@
 AgentLinks::~AgentLinks() = default;
 
 LinkHooks AgentLinks::OnAccept(Link& link) {
-  AgentConnection& connection = connections_[&link];
+  AgentConnection& connection = connections_[link.id()];
   connection.link = &link;
   Link* raw = &link;
   connection.hello_timer = loop_.After(kHelloTimeout, [raw] { raw->Close(); });
@@ -60,7 +60,7 @@
 }
 
 void AgentLinks::OnFrame(Link& link, std::string_view frame) {
-  AgentConnection& connection = connections_.at(&link);
+  AgentConnection& connection = connections_.at(link.id());
   const Result<Message> message = Decode(frame);
   if (!IsOk(message)) {
     Log(LogLevel::kWarning, "bad_message",
@@ -97,20 +97,20 @@
   connection.hello.shared_key.clear();
   const auto earlier = link_by_vm_.find(hello.vm);
   if (earlier != link_by_vm_.end()) {
-    Link* replaced_link = earlier->second;
-    const Hello replaced_hello = connections_.at(replaced_link).hello;
-    connections_.at(replaced_link).hello_accepted = false;
+    AgentConnection& replaced = connections_.at(earlier->second);
+    const Hello replaced_hello = replaced.hello;
+    replaced.hello_accepted = false;
     link_by_vm_.erase(earlier);
-    replaced_link->Close();
+    replaced.link->Close();
     hooks_.on_link_down(replaced_hello);
   }
-  link_by_vm_[hello.vm] = connection.link;
+  link_by_vm_[hello.vm] = connection.link->id();
   connection.link->Send(Encode(Welcome{entry_}));
   hooks_.on_hello(connection.hello);
 }
 
 void AgentLinks::OnClose(Link& link) {
-  const auto it = connections_.find(&link);
+  const auto it = connections_.find(link.id());
   if (it == connections_.end()) return;
   closed_bytes_sent_ += link.bytes_sent();
   const AgentConnection connection = std::move(it->second);
@@ -122,19 +122,23 @@
 
 bool AgentLinks::Send(const std::string& vm, const Message& message) {
   const auto it = link_by_vm_.find(vm);
-  if (it == link_by_vm_.end() || !it->second->is_open()) return false;
-  it->second->Send(Encode(message));
+  if (it == link_by_vm_.end()) return false;
+  Link& link = *connections_.at(it->second).link;
+  if (!link.is_open()) return false;
+  link.Send(Encode(message));
   return true;
 }
 
 void AgentLinks::Drop(const std::string& vm) {
   const auto it = link_by_vm_.find(vm);
-  if (it != link_by_vm_.end()) it->second->Close();
+  if (it != link_by_vm_.end()) connections_.at(it->second).link->Close();
 }
 
 uint64_t AgentLinks::OpenBytesSent() const {
   uint64_t sum = 0;
-  for (const auto& [link, connection] : connections_) sum += link->bytes_sent();
+  for (const auto& [id, connection] : connections_) {
+    sum += connection.link->bytes_sent();
+  }
   return sum;
 }
 
--- a/beamhill/entry/agent_links.h
+++ b/beamhill/entry/agent_links.h
@@ -70,8 +70,8 @@
   std::string shared_key_;
   AgentLinksHooks hooks_;
   std::unique_ptr<LinkListener> listener_;
-  std::map<Link*, AgentConnection> connections_;
-  std::map<std::string, Link*> link_by_vm_;
+  std::map<LinkId, AgentConnection> connections_;
+  std::map<std::string, LinkId> link_by_vm_;
   uint64_t closed_bytes_sent_ = 0;
   uint64_t rejected_hellos_ = 0;
 };
--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -42,7 +42,7 @@
 void ExecutorProcess::MakeExecutor(TaskRunner runner, Metrics& metrics) {
   ExecutorHooks hooks;
   hooks.now = [] { return BootClock::now(); };
-  hooks.send = [this](uint64_t link, const DispatchMessage& message) {
+  hooks.send = [this](LinkId link, const DispatchMessage& message) {
     const auto it = links_.find(link);
     if (it != links_.end()) it->second->Send(EncodeDispatch(message));
   };
@@ -159,7 +159,7 @@
 }
 
 LinkHooks ExecutorProcess::OnAccept(Link& link) {
-  const uint64_t id = next_link_++;
+  const LinkId id = link.id();
   links_[id] = &link;
   LinkHooks hooks;
   hooks.on_message = [this, id](Link& l, std::string_view frame) {
--- a/beamhill/executor/executor_process.h
+++ b/beamhill/executor/executor_process.h
@@ -67,8 +67,7 @@
   Table table_;
   std::unique_ptr<Executor> executor_;
   std::unique_ptr<LinkListener> listener_;
-  std::map<uint64_t, Link*> links_;
-  uint64_t next_link_ = 1;
+  std::map<LinkId, Link*> links_;
   std::mt19937_64 random_;
   std::unique_ptr<VmRegistration> registration_;
   Timer tick_;
--- a/beamhill/link/link.cc
+++ b/beamhill/link/link.cc
@@ -73,6 +73,11 @@
   return inet_pton(AF_INET, address.ip.c_str(), &out->sin_addr) == 1;
 }
 
+LinkId NextLinkId() {
+  static LinkId last_id = 0;
+  return ++last_id;
+}
+
 // The endpoints hold only configuration, so that one of each kind serves the
 // whole process.
 WsServer& ServerEndpoint() {
@@ -88,6 +93,7 @@
 }  // namespace
 
 struct Link::Impl {
+  const LinkId id = NextLinkId();
   EventLoop* loop = nullptr;
   Link* self = nullptr;
   LinkHooks hooks;
@@ -241,6 +247,8 @@
 
 void Link::Close() { impl_->ScheduleClose(); }
 
+LinkId Link::id() const { return impl_->id; }
+
 bool Link::is_open() const { return impl_->open; }
 
 size_t Link::BufferedBytes() const {
--- a/beamhill/link/link.h
+++ b/beamhill/link/link.h
@@ -22,6 +22,11 @@
 
 class Link;
 
+// Identifies a link within its process. Never used twice, whereas a new link
+// may get the address of a destroyed one: whatever outlives a callback refers
+// to a link by its id.
+using LinkId = uint64_t;
+
 // Callbacks of a link, all called from the event loop.
 struct LinkHooks {
   // Called after the WebSocket handshake. May be empty.
@@ -55,6 +60,7 @@
   // Closes the socket and calls on_close from the event loop.
   void Close();
 
+  LinkId id() const;
   bool is_open() const;
   // Bytes queued and not yet written to the socket.
   size_t BufferedBytes() const;
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -102,7 +102,7 @@
     SchedulerHeartbeat last;
     TimePoint heartbeat_at{};
     // The last of the owner's peers whose address was sent to this one.
-    Link* last_peer_sent = nullptr;
+    LinkId last_peer_sent = 0;
   };
   // A submission whose caller has not been answered.
   struct OpenSubmission {
@@ -193,9 +193,11 @@
   // result, or nullopt if there is no answer.
   void Relay(uint64_t id, const DispatchMessage& call, Duration timeout,
              std::function<void(std::optional<uint8_t>)> done);
-  void HandleRelay(Link* link, const RelayedSubmit& call);
-  void HandleRelay(Link* link, const RelayedCancel& call);
-  void SendRelayResult(Link* link, uint64_t id, uint8_t result);
+  // `link` is the one on which the call arrived: its result goes to that link
+  // or, if it has closed meanwhile, to nobody.
+  void HandleRelay(LinkId link, const RelayedSubmit& call);
+  void HandleRelay(LinkId link, const RelayedCancel& call);
+  void SendRelayResult(LinkId link, uint64_t id, uint8_t result);
   void SubmitLocally(const Workflow& workflow,
                      std::function<void(SubmitResult)> done);
   void CancelLocally(const std::string& workflow,
@@ -213,7 +215,7 @@
   std::unique_ptr<OwnershipKeeper> keeper_;
   std::unique_ptr<WorkOwner> owner_;
   std::unique_ptr<LinkListener> listener_;
-  std::map<Link*, Peer> peers_;
+  std::map<LinkId, Peer> peers_;
   std::unique_ptr<DialedPeer> owner_peer_;
   OwnerRecord followed_;  // The owner that `owner_peer_` is dialed to.
   // Notices that no owner has confirmed yet, by key.
--- a/beamhill/scheduler/scheduler_calls.cc
+++ b/beamhill/scheduler/scheduler_calls.cc
@@ -3,6 +3,7 @@
 #include <string>
 #include <utility>
 
+#include "beamhill/log/log.h"
 #include "beamhill/scheduler/scheduler.h"
 
 namespace beamhill {
@@ -188,7 +189,7 @@
   owner_peer_->Send(call);
 }
 
-void Scheduler::HandleRelay(Link* link, const RelayedSubmit& call) {
+void Scheduler::HandleRelay(LinkId link, const RelayedSubmit& call) {
   Workflow workflow = call.workflow;
   workflow.offered_to_epoch = keeper_->epoch();
   SubmitLocally(workflow, [this, link, id = call.id](SubmitResult result) {
@@ -196,15 +197,20 @@
   });
 }
 
-void Scheduler::HandleRelay(Link* link, const RelayedCancel& call) {
+void Scheduler::HandleRelay(LinkId link, const RelayedCancel& call) {
   CancelLocally(call.workflow, [this, link, id = call.id](CancelResult result) {
     SendRelayResult(link, id, static_cast<uint8_t>(result));
   });
 }
 
-void Scheduler::SendRelayResult(Link* link, uint64_t id, uint8_t result) {
-  if (peers_.count(link) == 0) return;  // The peer has disconnected meanwhile.
-  link->Send(EncodeDispatch(RelayedResult{id, result}));
+void Scheduler::SendRelayResult(LinkId link, uint64_t id, uint8_t result) {
+  const auto peer = peers_.find(link);
+  if (peer == peers_.end()) {
+    Log(LogLevel::kInfo, "relay_result_undeliverable",
+        {{"call", id}, {"result", static_cast<uint64_t>(result)}});
+    return;
+  }
+  peer->second.link->Send(EncodeDispatch(RelayedResult{id, result}));
 }
 
 void Scheduler::StateOf(const std::string& workflow,
--- a/beamhill/scheduler/scheduler_peers.cc
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -56,7 +56,7 @@
 SchedulerHeartbeat Scheduler::HeartbeatFor(Peer& peer) {
   SchedulerHeartbeat heartbeat = Heartbeat();
   if (!keeper_->owns()) return heartbeat;
-  for (Link* link :
+  for (const LinkId link :
        NextRoundRobin(peers_, peer.last_peer_sent, kPeersPerHeartbeat)) {
     const std::string& address = peers_.at(link).last.address;
     if (!address.empty()) heartbeat.peers.push_back(address);
@@ -111,12 +111,12 @@
 }
 
 LinkHooks Scheduler::OnAccept(Link& link) {
-  peers_[&link].link = &link;
+  peers_[link.id()].link = &link;
   LinkHooks hooks;
   hooks.on_message = [this](Link& l, std::string_view frame) {
     OnPeerFrame(l, frame);
   };
-  hooks.on_close = [this](Link& l) { peers_.erase(&l); };
+  hooks.on_close = [this](Link& l) { peers_.erase(l.id()); };
   return hooks;
 }
 
@@ -128,7 +128,7 @@
     link.Close();
     return;
   }
-  OnPeerMessage(peers_.at(&link), ValueOf(message));
+  OnPeerMessage(peers_.at(link.id()), ValueOf(message));
 }
 
 void Scheduler::OnPeerMessage(Peer& peer, const DispatchMessage& message) {
@@ -157,9 +157,9 @@
   } else if (const auto* announced = std::get_if<OwnerAnnounced>(&message)) {
     keeper_->OnOwnerAnnounced(announced->record);
   } else if (const auto* submit = std::get_if<RelayedSubmit>(&message)) {
-    HandleRelay(peer.link, *submit);
+    HandleRelay(peer.link->id(), *submit);
   } else if (const auto* relayed = std::get_if<RelayedCancel>(&message)) {
-    HandleRelay(peer.link, *relayed);
+    HandleRelay(peer.link->id(), *relayed);
   } else if (const auto* question = std::get_if<Question>(&message)) {
     AnswerQuestion(*peer.link, *question);
   }
--- a/beamhill/scheduler/scheduler_test.cc
+++ b/beamhill/scheduler/scheduler_test.cc
@@ -1,9 +1,6 @@
 // Tests Scheduler with an in-memory table and simulated peers over loopback.
-#include "beamhill/scheduler/scheduler.h"
-
 #include <gtest/gtest.h>
 
-#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -11,9 +8,8 @@
 #include <utility>
 #include <vector>
 
-#include "beamhill/event/event_loop.h"
 #include "beamhill/link/link.h"
-#include "beamhill/testing/faulty_table.h"
+#include "beamhill/scheduler/scheduler_test_base.h"
 
 namespace beamhill {
 namespace {
@@ -28,10 +24,11 @@
 // and the ownership is confirmed every 0.5 s.
 constexpr Duration kMaxWaitAfterEnd = kLeaseTerm + milliseconds(1500);
 
-class SchedulerTest : public testing::Test {
+class SchedulerTest : public SchedulerTestBase {
  protected:
   SchedulerTest() {
-    deliver_ = loop_->Every(milliseconds(1), [this] { table_.Deliver(); });
+    lease_term_ = kLeaseTerm;
+    authority_term_ = kAuthorityTerm;
   }
 
   // Simulates the peer `name`, which answers heartbeats; records who was
@@ -72,15 +69,8 @@
     return heartbeat;
   }
 
-  // Stores the record of the earlier owner.
   void StoreOwner(const std::string& name, const std::string& address) {
-    OwnerRecord record;
-    record.epoch = 1;
-    record.owner = name;
-    record.incarnation = kOwnerIncarnation;
-    record.address = address;
-    table_.model().Commit(
-        {{}, {{rows::kOwner, kAnyVersion, EncodeRecord(record)}}});
+    SchedulerTestBase::StoreOwner(name, kOwnerIncarnation, address);
   }
 
   // Starts a scheduler that takes over from the owner stored before, beside a
@@ -102,37 +92,14 @@
     const TimePoint taken = BootClock::now();
     EXPECT_TRUE(
         RunUntil(seconds(1), [&] { return InheritedWaiting() == "1"; }));
-    EXPECT_TRUE(RunUntil(seconds(8), [&] {
-      return scheduler_->Dump().find("unaccounted 0") != std::string::npos;
-    }));
+    EXPECT_TRUE(
+        RunUntil(seconds(8), [&] { return DumpContains("unaccounted 0"); }));
     EXPECT_EQ(InheritedWaiting(), "0");
     return BootClock::now() - taken;
   }
 
-  // The gauge's value, as exported.
   std::string InheritedWaiting() const {
-    const std::string name = "\nbeamhill_inherited_waiting_workflows ";
-    const std::string text = metrics_.ToPrometheus();
-    const size_t begin = text.find(name) + name.size();
-    return text.substr(begin, text.find('\n', begin) - begin);
-  }
-
-  void StartScheduler() {
-    SchedulerHooks hooks;
-    hooks.table_silence = [this] { return table_silence_; };
-    hooks.settings_version = [] { return uint64_t{0}; };
-    hooks.settings_document = [] { return std::string(); };
-    hooks.on_settings_copy = [](uint64_t, const std::string&) {};
-    hooks.evacuations = [this]() -> const Evacuations& { return evacuations_; };
-    hooks.on_evacuations_copy = [](const Evacuations&) {};
-    SchedulerSettings settings;
-    settings.name = "follower";
-    settings.peers = {"127.0.0.1", 0};
-    settings.claim_delay = Duration(0);
-    settings.lease_term = kLeaseTerm;
-    settings.authority_term = kAuthorityTerm;
-    scheduler_ = std::move(ValueOf(Scheduler::Start(
-        *loop_, settings, table_.AsTable(), std::move(hooks), metrics_)));
+    return MetricValue("beamhill_inherited_waiting_workflows");
   }
 
   // Starts a scheduler that knows `peers` peers and cuts it off from its owner
@@ -153,33 +120,13 @@
     dialed_.clear();
   }
 
-  static std::string AddressOf(const LinkListener& listener) {
-    return "127.0.0.1:" + std::to_string(listener.port());
-  }
-
-  bool RunUntil(Duration timeout, const std::function<bool()>& done) {
-    const Timer poll = loop_->Every(milliseconds(5), [&] {
-      if (done()) loop_->Stop();
-    });
-    const Timer end = loop_->After(timeout, [this] { loop_->Stop(); });
-    loop_->Run();
-    return done();
-  }
-
-  std::unique_ptr<EventLoop> loop_ = std::move(ValueOf(EventLoop::Create()));
-  FaultyTable table_;
-  Metrics metrics_;
-  Evacuations evacuations_;
-  Duration table_silence_{};
   Duration peers_table_silence_{};
   uint64_t owner_incarnation_ = kOwnerIncarnation;
   std::set<std::string> dialed_;  // Names of the peers that were dialed.
   int owner_heartbeats_ = 0;      // Heartbeats answered by the owner.
   std::vector<std::string> peer_addresses_;
   std::vector<std::unique_ptr<LinkListener>> peers_;
-  std::unique_ptr<Scheduler> scheduler_;
   std::optional<OwnerRecord> announced_;  // By the owner, of its successor.
-  Timer deliver_;
 };
 
 // Guards against querying only the peers drawn first, which may be down or cut
