Scheduler: ids of calls differ between processes, and stray answers are counted

A scheduler took the result of another process's call for that of its own.

Cause: ids of calls began with 1 in each process, so that a result for an earlier process, or for another scheduler, named a call that was pending here. Nothing in the answer told that it was not meant for this process, and nothing was logged or counted.

Change: the ids of a process begin at a random number of 63 bits. An answer that matches no pending call is counted by beamhill_unmatched_answers_total: `late` if this process has sent such a call, `unknown` otherwise, which is logged as well (answer_of_unknown_call).

Before: ResultOfAnEarlierProcessDoesNotEndASubmission ends as accepted and ResultOfAnEarlierProcessDoesNotEndACancellation as cancelled, although the owner has refused both. After: both pass.

--- a/beamhill/scheduler/pending_calls.h
+++ b/beamhill/scheduler/pending_calls.h
@@ -33,14 +33,15 @@
         loop_.After(timeout, [this, id] { Finish(id, std::nullopt); });
   }
 
-  // Completes the call with `answer`. Ignores calls that are not pending, such
-  // as those whose answer arrives after the timeout.
-  void Finish(uint64_t id, std::optional<T> answer) {
+  // Completes the call with `answer`. Returns false, and does nothing else, if
+  // no such call is pending, for example after its timeout.
+  bool Finish(uint64_t id, std::optional<T> answer) {
     const auto it = calls_.find(id);
-    if (it == calls_.end()) return;
+    if (it == calls_.end()) return false;
     const Callback done = std::move(it->second.done);
     calls_.erase(it);
     done(std::move(answer));
+    return true;
   }
 
  private:
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -49,7 +49,13 @@
           table, [] { return BootClock::now(); }, hooks_.table_silence),
       owner_queries_(loop),
       relays_(loop),
+      call_ids_(random_()),
       queried_peers_(loop, QueryHooks()) {
+  const std::string unmatched = "beamhill_unmatched_answers_total";
+  const std::string help = "Owner's answers that match no pending call.";
+  late_answers_ = &metrics.AddCounter(unmatched, help, {{"call", "late"}});
+  unknown_answers_ =
+      &metrics.AddCounter(unmatched, help, {{"call", "unknown"}});
   owner_metrics_.commit = &metrics.AddLatency(
       "beamhill_commit_latency", "From sending a transaction to its answer.");
   owner_metrics_.starts =
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -25,6 +25,7 @@
 #include "beamhill/event/event_loop.h"
 #include "beamhill/link/link.h"
 #include "beamhill/metrics/metrics.h"
+#include "beamhill/scheduler/call_ids.h"
 #include "beamhill/scheduler/dialed_peer.h"
 #include "beamhill/scheduler/dialed_peers.h"
 #include "beamhill/scheduler/handover.h"
@@ -173,6 +174,8 @@
   void QueryPeers(TimePoint now);
   DialedPeersHooks QueryHooks();
   void OnQueryAnswer(const DispatchMessage& message);
+  // Counts and logs the owner's answer to a call that is not pending.
+  void OnUnmatchedAnswer(uint64_t id);
   static std::string CancelKey(const std::string& workflow);
 
   // Defined in scheduler_calls.cc.
@@ -212,6 +215,8 @@
   uint64_t incarnation_;
   JobRepository repository_;
   WorkOwnerMetrics owner_metrics_;
+  Counter* late_answers_;     // Answers to calls that have timed out.
+  Counter* unknown_answers_;  // Answers to calls that this process never sent.
   std::unique_ptr<OwnershipKeeper> keeper_;
   std::unique_ptr<WorkOwner> owner_;
   std::unique_ptr<LinkListener> listener_;
@@ -223,8 +228,7 @@
   std::map<uint64_t, OpenSubmission> submissions_;
   PendingCalls<Answer> owner_queries_;
   PendingCalls<uint8_t> relays_;  // Answered with numeric result values.
-  // Id of the next query, submission or relayed call.
-  uint64_t next_call_id_ = 1;
+  CallIds call_ids_;              // Of queries, submissions and relayed calls.
   bool owner_table_responds_ = false;
   // When the table last answered the owner, as the owner reported.
   TimePoint owner_table_answer_at_{};
--- a/beamhill/scheduler/scheduler_calls.cc
+++ b/beamhill/scheduler/scheduler_calls.cc
@@ -38,7 +38,7 @@
     done(std::nullopt);
     return;
   }
-  question.id = next_call_id_++;
+  question.id = call_ids_.Next();
   owner_queries_.Add(question.id, kQuestionTimeout, std::move(done));
   owner_peer_->Send(question);
 }
@@ -93,7 +93,7 @@
 void Scheduler::Submit(Workflow workflow,
                        std::function<void(SubmitResult)> done) {
   workflow.offered_to_epoch = keeper_->epoch();
-  const uint64_t number = next_call_id_++;
+  const uint64_t number = call_ids_.Next();
   OpenSubmission& submission = submissions_[number];
   submission.since = BootClock::now();
   submission.workflow = std::move(workflow);
@@ -136,7 +136,7 @@
     });
     return;
   }
-  const uint64_t id = next_call_id_++;
+  const uint64_t id = call_ids_.Next();
   submissions_.at(number).relay = id;
   Relay(id, RelayedSubmit{id, workflow}, kSubmitRelayTimeout,
         [this, number, id](std::optional<uint8_t> result) {
@@ -162,7 +162,7 @@
 void Scheduler::Cancel(const std::string& workflow,
                        std::function<void(CancelResult)> done) {
   const auto relay = [this, workflow, done] {
-    const uint64_t id = next_call_id_++;
+    const uint64_t id = call_ids_.Next();
     Relay(id, RelayedCancel{id, workflow}, kCancelRelayTimeout,
           [done](std::optional<uint8_t> result) {
             done(result ? static_cast<CancelResult>(*result)
--- a/beamhill/scheduler/scheduler_calls_test.cc
+++ b/beamhill/scheduler/scheduler_calls_test.cc
@@ -9,6 +9,7 @@
 #include <cstdlib>
 #include <memory>
 #include <new>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -180,5 +181,80 @@
   EXPECT_THAT(table_.model().Scan(rows::kCancels), SizeIs(kPeers));
 }
 
+constexpr uint64_t kOwnerIncarnation = 7;
+// The ids of as many calls of an earlier process are answered.
+constexpr uint64_t kEarlierCalls = 20;
+
+// The scheduler under test follows an owner that the test acts as. The table
+// refuses all writes.
+class FollowerCallsTest : public SchedulerTestBase {
+ protected:
+  void SetUp() override {
+    owner_ = std::move(ValueOf(LinkListener::Listen(
+        *loop_, {"127.0.0.1", 0}, [this](Link&) { return OwnerHooks(); })));
+    StoreOwner("owner", kOwnerIncarnation, AddressOf(*owner_));
+    StartScheduler();
+    ASSERT_TRUE(RunUntil(seconds(5), [&] { return owner_heartbeats_ > 1; }));
+    table_.set_fault(TableFault::kDown);
+  }
+
+  // The owner answers each call with `misdirected_` for ids of an earlier
+  // process, then with `result_` for the call itself.
+  LinkHooks OwnerHooks() {
+    LinkHooks hooks;
+    hooks.on_message = [this](Link& link, std::string_view frame) {
+      const auto message = ValueOf(DecodeDispatch(frame));
+      if (std::holds_alternative<SchedulerHeartbeat>(message)) {
+        ++owner_heartbeats_;
+        SchedulerHeartbeat heartbeat;
+        heartbeat.incarnation = kOwnerIncarnation;
+        heartbeat.epoch = heartbeat.known_epoch = 1;
+        link.Send(EncodeDispatch(heartbeat));
+      } else if (const auto* submit = std::get_if<RelayedSubmit>(&message)) {
+        SendResults(link, submit->id);
+      } else if (const auto* cancel = std::get_if<RelayedCancel>(&message)) {
+        SendResults(link, cancel->id);
+      }
+    };
+    return hooks;
+  }
+
+  void SendResults(Link& link, uint64_t id) const {
+    for (uint64_t earlier = 1; earlier <= kEarlierCalls; ++earlier) {
+      link.Send(EncodeDispatch(RelayedResult{earlier, misdirected_}));
+    }
+    link.Send(EncodeDispatch(RelayedResult{id, result_}));
+  }
+
+  std::unique_ptr<LinkListener> owner_;
+  int owner_heartbeats_ = 0;
+  uint8_t misdirected_ = 0;
+  uint8_t result_ = 0;
+};
+
+// Guards against ids that begin with 1 in each process: a scheduler took the
+// result of another process's call for its own.
+TEST_F(FollowerCallsTest, ResultOfAnEarlierProcessDoesNotEndASubmission) {
+  misdirected_ = static_cast<uint8_t>(SubmitResult::kAccepted);
+  result_ = static_cast<uint8_t>(SubmitResult::kRefused);
+  std::optional<SubmitResult> result;
+  scheduler_->Submit(OneTask(1), [&](SubmitResult r) { result = r; });
+  ASSERT_TRUE(RunUntil(seconds(4), [&] { return result.has_value(); }));
+  EXPECT_EQ(result, SubmitResult::kRefused);
+  EXPECT_EQ(MetricValue("beamhill_unmatched_answers_total{call=\"unknown\"}"),
+            std::to_string(kEarlierCalls));
+}
+
+// As above, for a caller who was told that a job was cancelled.
+TEST_F(FollowerCallsTest, ResultOfAnEarlierProcessDoesNotEndACancellation) {
+  misdirected_ = static_cast<uint8_t>(CancelResult::kCancelled);
+  result_ = static_cast<uint8_t>(CancelResult::kNoSuchJob);
+  table_silence_ = seconds(2);  // So that the call is relayed at once.
+  std::optional<CancelResult> result;
+  scheduler_->Cancel("workflow-1", [&](CancelResult r) { result = r; });
+  ASSERT_TRUE(RunUntil(seconds(4), [&] { return result.has_value(); }));
+  EXPECT_EQ(result, CancelResult::kNoSuchJob);
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/scheduler/scheduler_peers.cc
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -104,10 +104,24 @@
   } else if (const auto* hand_over = std::get_if<HandOver>(&message)) {
     keeper_->OnHandOver(hand_over->epoch);
   } else if (const auto* result = std::get_if<RelayedResult>(&message)) {
-    relays_.Finish(result->id, result->result);
+    if (!relays_.Finish(result->id, result->result)) {
+      OnUnmatchedAnswer(result->id);
+    }
   } else if (const auto* answer = std::get_if<Answer>(&message)) {
-    owner_queries_.Finish(answer->id, *answer);
+    if (!owner_queries_.Finish(answer->id, *answer)) {
+      OnUnmatchedAnswer(answer->id);
+    }
+  }
+}
+
+void Scheduler::OnUnmatchedAnswer(uint64_t id) {
+  if (call_ids_.Issued(id)) {
+    late_answers_->Add();
+    return;
   }
+  unknown_answers_->Add();
+  Log(LogLevel::kWarning, "answer_of_unknown_call",
+      {{"call", id}, {"owner", followed_.owner}, {"epoch", followed_.epoch}});
 }
 
 LinkHooks Scheduler::OnAccept(Link& link) {
