Scheduler: a peer that is given up runs no hook any more

What callers saw: a scheduler that took the work over from an owner that woke at that moment ended with signal 11. Requests open there got no answer, and the work had no owner until the next takeover.

Cause: a link to an owner that was no longer followed was put aside until the next tick, up to 50 ms later, and ran its hooks until then. The hooks did not refer to the link that they belonged to but to the scheduler's present owner. At a takeover there is none: the pointer was null. After a change of the followed owner it was the next owner: a link that ended told all open submissions that the next owner was lost, and a heartbeat was taken for one of the next owner's.

Why this can't come back: a peer is held by DialedPeerPtr only. Giving it up closes its link and disables its hooks at once, and its memory lives until the running callback has returned, so it may be given up anywhere, also in a hook of its own. The lists of retired peers are gone. Hooks receive the peer that they belong to. What an owner has reported is replaced as a whole with the owner. A check for null at the two places would have ended the crash only.

Related paths: announcements and queried peers are held in the same way. An owner of work that was lost stops at once in place of on the next tick, when this process might own the work again (WorkOwner::Stop; not seen, found by reading).

--- a/beamhill/base/lifetime.h
+++ b/beamhill/base/lifetime.h
@@ -23,6 +23,9 @@
   Lifetime(const Lifetime&) = delete;
   Lifetime& operator=(const Lifetime&) = delete;
 
+  // No callback returned by Guard runs any more, as after the destruction.
+  void End() { alive_.reset(); }
+
   // Returns a callable of one argument that calls `callback` with it, or does
   // nothing if this object has been destroyed.
   template <typename F>
--- a/beamhill/event/event_loop.cc
+++ b/beamhill/event/event_loop.cc
@@ -52,7 +52,23 @@
   return std::unique_ptr<EventLoop>(new EventLoop(base));
 }
 
-EventLoop::~EventLoop() { event_base_free(base_); }
+EventLoop::~EventLoop() {
+  while (!discarded_.empty()) DestroyDiscarded();
+  destroy_timer_.Cancel();
+  event_base_free(base_);
+}
+
+void EventLoop::AddDiscarded(std::shared_ptr<void> object) {
+  if (discarded_.empty()) {
+    destroy_timer_ = After(Duration(0), [this] { DestroyDiscarded(); });
+  }
+  discarded_.push_back(std::move(object));
+}
+
+void EventLoop::DestroyDiscarded() {
+  // Emptied first, since a destructor may discard further objects.
+  const auto discarded = std::exchange(discarded_, {});
+}
 
 Timer EventLoop::After(Duration delay, std::function<void()> callback) {
   auto state = std::make_unique<Timer::State>();
--- a/beamhill/event/event_loop.h
+++ b/beamhill/event/event_loop.h
@@ -8,6 +8,8 @@
 
 #include <functional>
 #include <memory>
+#include <utility>
+#include <vector>
 
 #include "beamhill/base/error.h"
 #include "beamhill/base/time.h"
@@ -52,6 +54,13 @@
   [[nodiscard]] Timer OnSignal(int signal_number,
                                std::function<void()> callback);
 
+  // Destroys the object once the callback that is running has returned, or with
+  // the loop. For objects that may be discarded in callbacks of their own.
+  template <typename T>
+  void DestroyLater(std::unique_ptr<T> object) {
+    AddDiscarded(std::shared_ptr<void>(std::shared_ptr<T>(std::move(object))));
+  }
+
   // Runs until Stop is called.
   void Run();
   // Makes Run return after the callback that is running.
@@ -62,8 +71,12 @@
 
  private:
   explicit EventLoop(event_base* base) : base_(base) {}
+  void AddDiscarded(std::shared_ptr<void> object);
+  void DestroyDiscarded();
 
   event_base* base_;
+  std::vector<std::shared_ptr<void>> discarded_;  // See DestroyLater.
+  Timer destroy_timer_;
 };
 
 }  // namespace beamhill
--- a/beamhill/link/link.cc
+++ b/beamhill/link/link.cc
@@ -265,8 +265,6 @@
   evconnlistener* listener = nullptr;
   uint16_t port = 0;
   std::map<Link*, std::unique_ptr<Link>> links;
-  std::vector<std::unique_ptr<Link>> links_to_destroy;
-  Timer destroy_timer;
 
   ~Impl() {
     if (listener != nullptr) evconnlistener_free(listener);
@@ -296,10 +294,8 @@
   // Destroys the link from the event loop, since this is called from its hook.
   void DestroyLater(Link& link) {
     const auto it = links.find(&link);
-    links_to_destroy.push_back(std::move(it->second));
+    loop->DestroyLater(std::move(it->second));
     links.erase(it);
-    destroy_timer =
-        loop->After(Duration(0), [this] { links_to_destroy.clear(); });
   }
 
   static void OnAccept(evconnlistener*, evutil_socket_t fd, sockaddr*, int,
--- a/beamhill/scheduler/dialed_peer.cc
+++ b/beamhill/scheduler/dialed_peer.cc
@@ -17,12 +17,24 @@
 
 DialedPeer::DialedPeer(EventLoop& loop, const Address& address,
                        DialedPeerHooks hooks)
-    : loop_(loop), address_(address), hooks_(std::move(hooks)) {
-  Dial();
-}
+    : loop_(loop), address_(address), hooks_(std::move(hooks)) {}
 
 DialedPeer::~DialedPeer() = default;
 
+DialedPeerPtr DialedPeer::Dial(EventLoop& loop, const Address& address,
+                               DialedPeerHooks hooks) {
+  DialedPeerPtr peer(new DialedPeer(loop, address, std::move(hooks)));
+  peer->Dial();
+  return peer;
+}
+
+void DialedPeerDeleter::operator()(DialedPeer* peer) const {
+  peer->given_up_ = true;
+  peer->redial_timer_.Cancel();
+  peer->link_->Close();
+  peer->loop_.DestroyLater(std::unique_ptr<DialedPeer>(peer));
+}
+
 bool DialedPeer::is_open() const { return link_ && link_->is_open(); }
 
 void DialedPeer::Dial() {
@@ -30,20 +42,24 @@
   dial_started_at_ = BootClock::now();
   last_received_at_ = dial_started_at_;
   LinkHooks hooks;
-  hooks.on_open = [this](Link&) {
-    opened_ = true;
-    redial_delay_ = Duration(0);
-    last_received_at_ = BootClock::now();
-    last_message_at_ = last_received_at_;
-    hooks_.on_open();
-  };
+  hooks.on_open = [this](Link&) { OnOpen(); };
   hooks.on_pong = [this](Link&) { last_received_at_ = BootClock::now(); };
   hooks.on_message = [this](Link&, std::string_view frame) { OnFrame(frame); };
   hooks.on_close = [this](Link&) { OnClose(); };
   link_ = Link::Dial(loop_, address_, std::move(hooks));
 }
 
+void DialedPeer::OnOpen() {
+  if (given_up_) return;
+  opened_ = true;
+  redial_delay_ = Duration(0);
+  last_received_at_ = BootClock::now();
+  last_message_at_ = last_received_at_;
+  hooks_.on_open(*this);
+}
+
 void DialedPeer::OnFrame(std::string_view frame) {
+  if (given_up_) return;
   last_received_at_ = BootClock::now();
   last_message_at_ = last_received_at_;
   const Result<DispatchMessage> message = DecodeDispatch(frame);
@@ -53,16 +69,17 @@
     link_->Close();
     return;
   }
-  hooks_.on_message(ValueOf(message));
+  hooks_.on_message(*this, ValueOf(message));
 }
 
 void DialedPeer::OnClose() {
+  if (given_up_) return;
   const bool was_open = opened_;
   opened_ = false;
   redial_delay_ =
       std::clamp(redial_delay_ * 2, kMinRedialDelay, kMaxRedialDelay);
   redial_timer_ = loop_.After(redial_delay_, [this] { Dial(); });
-  hooks_.on_down(was_open);
+  hooks_.on_down(*this, was_open);
 }
 
 void DialedPeer::Send(const DispatchMessage& message) {
--- a/beamhill/scheduler/dialed_peer.h
+++ b/beamhill/scheduler/dialed_peer.h
@@ -1,8 +1,10 @@
-// An outgoing link to one peer that redials until destroyed, since the peer may
-// be down, unresponsive or replaced.
+// An outgoing link to one peer that redials until it is given up, since the
+// peer may be down, unresponsive or replaced.
 //
-//   DialedPeer peer(loop, address, {on_open, on_message, on_down});
-//   peer.Send(message);       // dropped while the link is down
+//   DialedPeerPtr peer =
+//       DialedPeer::Dial(loop, address, {on_open, on_message, on_down});
+//   peer->Send(message);      // dropped while the link is down
+//   peer.reset();             // no hook runs any more
 #ifndef BEAMHILL_SCHEDULER_DIALED_PEER_H_
 #define BEAMHILL_SCHEDULER_DIALED_PEER_H_
 
@@ -17,17 +19,30 @@
 
 namespace beamhill {
 
+class DialedPeer;
+
+// Ends a peer that its user gives up: closes its link, runs none of its hooks
+// any more, and destroys it from the event loop. So a user may give up a peer
+// anywhere, also in a hook of that peer, and nothing that the peer still
+// receives is taken for a message of the peer that replaces it.
+struct DialedPeerDeleter {
+  void operator()(DialedPeer* peer) const;
+};
+using DialedPeerPtr = std::unique_ptr<DialedPeer, DialedPeerDeleter>;
+
+// Callbacks of a peer; each receives the peer that it belongs to.
 struct DialedPeerHooks {
-  std::function<void()> on_open;
-  std::function<void(const DispatchMessage&)> on_message;
+  std::function<void(DialedPeer& peer)> on_open;
+  std::function<void(DialedPeer& peer, const DispatchMessage&)> on_message;
   // The link closed, or could not be established if `was_open` is false.
-  std::function<void(bool was_open)> on_down;
+  std::function<void(DialedPeer& peer, bool was_open)> on_down;
 };
 
 class DialedPeer {
  public:
-  DialedPeer(EventLoop& loop, const Address& address, DialedPeerHooks hooks);
-  ~DialedPeer();
+  // Starts connecting to `address` and returns at once.
+  static DialedPeerPtr Dial(EventLoop& loop, const Address& address,
+                            DialedPeerHooks hooks);
   DialedPeer(const DialedPeer&) = delete;
   DialedPeer& operator=(const DialedPeer&) = delete;
 
@@ -44,7 +59,13 @@
   Duration SinceMessage() const { return BootClock::now() - last_message_at_; }
 
  private:
+  friend struct DialedPeerDeleter;
+  friend struct std::default_delete<DialedPeer>;  // Used by the event loop.
+
+  DialedPeer(EventLoop& loop, const Address& address, DialedPeerHooks hooks);
+  ~DialedPeer();
   void Dial();
+  void OnOpen();
   void OnFrame(std::string_view frame);
   void OnClose();
 
@@ -52,6 +73,7 @@
   Address address_;
   DialedPeerHooks hooks_;
   std::unique_ptr<Link> link_;
+  bool given_up_ = false;
   bool opened_ = false;
   Duration redial_delay_{};
   TimePoint dial_started_at_{};
--- a/beamhill/scheduler/dialed_peer_test.cc
+++ b/beamhill/scheduler/dialed_peer_test.cc
@@ -18,12 +18,14 @@
 
 class DialedPeerTest : public testing::Test {
  protected:
-  std::unique_ptr<DialedPeer> Dial(const Address& address) {
+  DialedPeerPtr Dial(const Address& address) {
     DialedPeerHooks hooks;
-    hooks.on_open = [this] { ++open_count_; };
-    hooks.on_message = [](const DispatchMessage&) {};
-    hooks.on_down = [this](bool was_open) { down_count_ += was_open ? 1 : 0; };
-    return std::make_unique<DialedPeer>(*loop_, address, std::move(hooks));
+    hooks.on_open = [this](DialedPeer&) { ++open_count_; };
+    hooks.on_message = [](DialedPeer&, const DispatchMessage&) {};
+    hooks.on_down = [this](DialedPeer&, bool was_open) {
+      down_count_ += was_open ? 1 : 0;
+    };
+    return DialedPeer::Dial(*loop_, address, std::move(hooks));
   }
 
   void RunFor(Duration time, DialedPeer& peer) {
@@ -70,5 +72,62 @@
   EXPECT_EQ(down_count_, 1);
 }
 
+// Guards against hooks that act for a peer that its user has replaced: a
+// scheduler crashed when the link to its earlier owner opened after all.
+TEST_F(DialedPeerTest, NoHookRunsOnceThePeerIsGivenUp) {
+  const auto listener = LinkListener::Listen(*loop_, {"127.0.0.1", 0},
+                                             [](Link&) { return LinkHooks(); });
+  auto given_up = Dial({"127.0.0.1", ValueOf(listener)->port()});
+  const auto kept = Dial({"127.0.0.1", ValueOf(listener)->port()});
+  given_up.reset();
+  RunFor(milliseconds(300), *kept);
+  EXPECT_EQ(open_count_, 1);
+  EXPECT_EQ(down_count_, 0);
+}
+
+class DialedPeerHookTest : public testing::TestWithParam<std::string> {};
+
+// A peer used to be destroyed only outside its hooks, on a later tick. Until
+// then it went on to act for its user.
+TEST_P(DialedPeerHookTest, PeerMayBeGivenUpInItsOwnHook) {
+  const auto loop = std::move(ValueOf(EventLoop::Create()));
+  auto listener = std::move(
+      ValueOf(LinkListener::Listen(*loop, {"127.0.0.1", 0}, [&](Link&) {
+        LinkHooks hooks;
+        // Two messages, of which the second must not be handled.
+        hooks.on_message = [](Link& link, std::string_view frame) {
+          link.Send(frame);
+          link.Send(frame);
+        };
+        return hooks;
+      })));
+  DialedPeerPtr peer;
+  int calls = 0;
+  const auto give_up = [&](const std::string& hook) {
+    if (hook != GetParam()) return;
+    ++calls;
+    peer.reset();
+  };
+  DialedPeerHooks hooks;
+  hooks.on_open = [&](DialedPeer& p) {
+    p.Send(HandOver{1});
+    give_up("open");
+  };
+  hooks.on_message = [&](DialedPeer&, const DispatchMessage&) {
+    give_up("message");
+  };
+  hooks.on_down = [&](DialedPeer&, bool) { give_up("down"); };
+  peer = DialedPeer::Dial(*loop, {"127.0.0.1", listener->port()},
+                          std::move(hooks));
+  const Timer down = loop->After(milliseconds(100), [&] { listener.reset(); });
+  const Timer end = loop->After(milliseconds(500), [&] { loop->Stop(); });
+  loop->Run();
+  EXPECT_EQ(calls, 1);
+  EXPECT_EQ(peer, nullptr);
+}
+
+INSTANTIATE_TEST_SUITE_P(Hooks, DialedPeerHookTest,
+                         testing::Values("open", "message", "down"));
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/scheduler/dialed_peers.cc
+++ b/beamhill/scheduler/dialed_peers.cc
@@ -5,18 +5,20 @@
 namespace beamhill {
 
 DialedPeers::DialedPeers(EventLoop& loop, DialedPeersHooks hooks)
-    : loop_(loop), hooks_(std::move(hooks)) {}
+    : loop_(loop),
+      hooks_(std::make_shared<const DialedPeersHooks>(std::move(hooks))) {}
 
 void DialedPeers::Dial(const Address& address) {
-  const size_t index = peers_.size();
   DialedPeerHooks hooks;
-  hooks.on_open = [this, index] { hooks_.on_open(*peers_[index]); };
-  hooks.on_message = [this](const DispatchMessage& message) {
-    hooks_.on_message(message);
+  hooks.on_open = [shared = hooks_](DialedPeer& peer) {
+    shared->on_open(peer);
   };
-  hooks.on_down = [](bool) {};  // The peer redials by itself.
-  peers_.push_back(
-      std::make_unique<DialedPeer>(loop_, address, std::move(hooks)));
+  hooks.on_message = [shared = hooks_](DialedPeer&,
+                                       const DispatchMessage& message) {
+    shared->on_message(message);
+  };
+  hooks.on_down = [](DialedPeer&, bool) {};  // The peer redials by itself.
+  peers_.push_back(DialedPeer::Dial(loop_, address, std::move(hooks)));
 }
 
 void DialedPeers::Send(const DispatchMessage& message) {
--- a/beamhill/scheduler/dialed_peers.h
+++ b/beamhill/scheduler/dialed_peers.h
@@ -30,20 +30,22 @@
   DialedPeers(const DialedPeers&) = delete;
   DialedPeers& operator=(const DialedPeers&) = delete;
 
-  // Adds a peer; its link is redialed until Clear.
+  // Adds a peer; its link is redialed until Clear or until this object is
+  // destroyed, which both may happen in a hook.
   void Dial(const Address& address);
   void Send(const DispatchMessage& message);
   // Closes each link on which nothing has been received for `limit`; it is
   // redialed.
   void CloseIfSilent(Duration limit);
-  // Removes all peers. Must not be called from a hook.
+  // Gives up all peers.
   void Clear() { peers_.clear(); }
   bool empty() const { return peers_.empty(); }
 
  private:
   EventLoop& loop_;
-  DialedPeersHooks hooks_;
-  std::vector<std::unique_ptr<DialedPeer>> peers_;
+  // Shared with the peers, which may outlive this object by a moment.
+  std::shared_ptr<const DialedPeersHooks> hooks_;
+  std::vector<DialedPeerPtr> peers_;
 };
 
 }  // namespace beamhill
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -126,7 +126,7 @@
   hooks.on_taken = [this](uint64_t epoch, EarlierOwner earlier, bool first) {
     OnOwnershipTaken(epoch, earlier, first);
   };
-  hooks.on_lost = [this] { retired_owner_ = std::move(owner_); };
+  hooks.on_lost = [this] { StopWork(); };
   hooks.log = [](const std::string& event, const std::string& detail) {
     Log(LogLevel::kInfo, event, {{"detail", detail}});
   };
@@ -136,7 +136,7 @@
 
 void Scheduler::OnOwnershipTaken(uint64_t epoch, EarlierOwner earlier,
                                  bool first) {
-  if (owner_peer_) retired_peers_.push_back(std::move(owner_peer_));
+  followed_.peer.reset();
   owned_since_ = BootClock::now();
   peer_answered_since_.reset();
   WorkOwnerOptions options;
@@ -153,8 +153,9 @@
                                        owner_metrics_);
   // Loading finds the stored workflows.
   notices_.clear();
-  if (!followed_.address.empty()) known_peers_.insert(followed_.address);
-  retired_announcements_ = std::move(announcements_);
+  if (!followed_.record.address.empty()) {
+    known_peers_.insert(followed_.record.address);
+  }
   Announce();
   AdvanceSubmissions(/*owner_lost=*/true);
 }
@@ -162,30 +163,35 @@
 void Scheduler::Follow(const OwnerRecord& owner) {
   const Result<Address> address = ParseAddress(owner.address);
   if (!IsOk(address)) return;
-  followed_ = owner;
   Log(LogLevel::kInfo, "following",
       {{"owner", owner.owner}, {"epoch", owner.epoch}});
-  if (owner_peer_) retired_peers_.push_back(std::move(owner_peer_));
-  owner_table_responds_ = false;
   DialedPeerHooks hooks;
-  hooks.on_open = [this] {
-    owner_peer_->Send(Heartbeat());
-    SendNotices();
+  hooks.on_open = [this](DialedPeer& peer) {
+    peer.Send(Heartbeat());
+    for (const auto& [key, notice] : notices_) peer.Send(notice.message);
+  };
+  hooks.on_message = [this](DialedPeer& peer, const DispatchMessage& message) {
+    OnOwnerMessage(peer, message);
   };
-  hooks.on_message =
-      [this, incarnation = owner.incarnation](const DispatchMessage& message) {
-        OnOwnerMessage(message, incarnation);
-      };
-  hooks.on_down = [this](bool was_open) {
+  hooks.on_down = [this](DialedPeer&, bool was_open) {
     if (!was_open) return;
-    Log(LogLevel::kWarning, "owner_unlinked", {{"owner", followed_.owner}});
+    Log(LogLevel::kWarning, "owner_unlinked",
+        {{"owner", followed_.record.owner}});
     AdvanceSubmissions(/*owner_lost=*/true);
   };
-  owner_peer_ =
-      std::make_unique<DialedPeer>(loop_, ValueOf(address), std::move(hooks));
+  followed_ = FollowedOwner();
+  followed_.record = owner;
+  followed_.since = BootClock::now();
+  followed_.peer = DialedPeer::Dial(loop_, ValueOf(address), std::move(hooks));
   AdvanceSubmissions(/*owner_lost=*/true);
 }
 
+void Scheduler::StopWork() {
+  if (!owner_) return;
+  owner_->Stop();
+  loop_.DestroyLater(std::move(owner_));
+}
+
 PeerView Scheduler::ViewOf(const Peer& peer) {
   return {BootClock::now() - peer.heartbeat_at, peer.last.table_silence,
           peer.last.host_capacity};
@@ -261,14 +267,11 @@
   if (hooks_.table_silence() < kGlobalTableSilence) return false;
   if (keeper_->owns()) return true;
   const TimePoint now = BootClock::now();
-  const bool owner_heard = now - owner_heartbeat_at_ < kOwnerLinkTimeout;
-  return owner_heard && now - owner_table_answer_at_ >= kGlobalTableSilence;
+  const bool owner_heard = now - followed_.heartbeat_at < kOwnerLinkTimeout;
+  return owner_heard && now - followed_.table_answer_at >= kGlobalTableSilence;
 }
 
 void Scheduler::Tick() {
-  retired_peers_.clear();
-  retired_owner_.reset();
-  retired_announcements_.reset();
   const TimePoint now = BootClock::now();
   keeper_->Tick();
   const bool table_down = IsTableDown();
@@ -284,9 +287,9 @@
     last_heartbeat_at_ = now;
     if (!queried_peers_.empty()) queried_peers_.Send(Heartbeat());
   }
-  if (!owner_peer_) return;
-  owner_peer_->CloseIfSilent(kOwnerLinkTimeout);
-  if (heartbeat_due) owner_peer_->Send(Heartbeat());
+  if (!followed_.peer) return;
+  followed_.peer->CloseIfSilent(kOwnerLinkTimeout);
+  if (heartbeat_due) followed_.peer->Send(Heartbeat());
 }
 
 void Scheduler::Leave(std::function<void()> done) {
@@ -297,7 +300,7 @@
   owner_->Quiesce([this, done] {
     const uint64_t epoch = keeper_->epoch();
     keeper_->Release([this, epoch, done] {
-      retired_owner_ = std::move(owner_);
+      StopWork();
       OfferHandOver(epoch, kMaxTableSilenceHealthy);
       done();
     });
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -105,6 +105,16 @@
     // The last of the owner's peers whose address was sent to this one.
     LinkId last_peer_sent = 0;
   };
+  // The owner that this process follows, and what it has reported. Replaced as
+  // a whole, since nothing of it applies to the next owner.
+  struct FollowedOwner {
+    OwnerRecord record;
+    DialedPeerPtr peer;  // Null while this process follows no other one.
+    TimePoint since{};   // When this process began to follow it.
+    TimePoint heartbeat_at{};
+    bool table_responds = false;
+    TimePoint table_answer_at{};  // When the table last answered it.
+  };
   // A submission whose caller has not been answered.
   struct OpenSubmission {
     SubmitCall call;
@@ -127,6 +137,8 @@
   void OnOwnershipTaken(uint64_t epoch, EarlierOwner earlier, bool first);
   // Dials the new owner.
   void Follow(const OwnerRecord& owner);
+  // Stops the work that this process has run as owner, if any.
+  void StopWork();
   // Returns the best peer to hand over to, by recent heartbeats, or null.
   const Peer* FindSuccessor(Duration max_table_silence) const;
   static PeerView ViewOf(const Peer& peer);
@@ -152,9 +164,10 @@
   void SendSettingsIfNewer(
       uint64_t peer_version,
       const std::function<void(const DispatchMessage&)>& send);
-  // Handles a message from the process at the address of the owner with this
-  // incarnation.
-  void OnOwnerMessage(const DispatchMessage& message, uint64_t incarnation);
+  // Handles a message from the process at the address of the owner that this
+  // process follows.
+  void OnOwnerMessage(DialedPeer& peer, const DispatchMessage& message);
+  void OnOwnerHeartbeat(DialedPeer& peer, const SchedulerHeartbeat& heartbeat);
   LinkHooks OnAccept(Link& link);
   void OnPeerFrame(Link& link, std::string_view frame);
   void OnPeerMessage(Peer& peer, const DispatchMessage& message);
@@ -166,7 +179,6 @@
   // A notice that the owner could not process yet is covered by its marker in
   // the table.
   void Notify(const DispatchMessage& message, const std::string& key);
-  void SendNotices();
   void ExpireNotices(TimePoint now);
   // Queries other schedulers for newer service settings and for the owner while
   // this process reaches neither the table nor an owner: a few at a time, then
@@ -221,19 +233,14 @@
   std::unique_ptr<WorkOwner> owner_;
   std::unique_ptr<LinkListener> listener_;
   std::map<LinkId, Peer> peers_;
-  std::unique_ptr<DialedPeer> owner_peer_;
-  OwnerRecord followed_;  // The owner that `owner_peer_` is dialed to.
+  FollowedOwner followed_;
   // Notices that no owner has confirmed yet, by key.
   std::map<std::string, Notice> notices_;
   std::map<uint64_t, OpenSubmission> submissions_;
   PendingCalls<Answer> owner_queries_;
   PendingCalls<uint8_t> relays_;  // Answered with numeric result values.
   CallIds call_ids_;              // Of queries, submissions and relayed calls.
-  bool owner_table_responds_ = false;
-  // When the table last answered the owner, as the owner reported.
-  TimePoint owner_table_answer_at_{};
-  TimePoint owner_heartbeat_at_{};
-  TimePoint owned_since_{};  // When this process took ownership.
+  TimePoint owned_since_{};       // When this process took ownership.
   // While owning: since when the table has answered some peer.
   std::optional<TimePoint> peer_answered_since_;
   TimePoint probed_at_{};
@@ -246,14 +253,9 @@
   std::set<std::string> known_peers_;
   // Links on which this process announces its ownership.
   std::unique_ptr<DialedPeers> announcements_;
-  // Retired objects are destroyed on the next tick: a link must not be
-  // destroyed inside its hooks.
-  std::unique_ptr<DialedPeers> retired_announcements_;
   Timer announcement_timer_;
   TimePoint last_heartbeat_at_{};
   Timer tick_;
-  std::vector<std::unique_ptr<DialedPeer>> retired_peers_;
-  std::unique_ptr<WorkOwner> retired_owner_;
   Lifetime lifetime_;
 };
 
--- a/beamhill/scheduler/scheduler_calls.cc
+++ b/beamhill/scheduler/scheduler_calls.cc
@@ -34,13 +34,13 @@
 
 void Scheduler::QueryOwner(Question question,
                            std::function<void(std::optional<Answer>)> done) {
-  if (!owner_peer_ || !owner_peer_->is_open()) {
+  if (!followed_.peer || !followed_.peer->is_open()) {
     done(std::nullopt);
     return;
   }
   question.id = call_ids_.Next();
   owner_queries_.Add(question.id, kQuestionTimeout, std::move(done));
-  owner_peer_->Send(question);
+  followed_.peer->Send(question);
 }
 
 void Scheduler::NotifyOwner(const Workflow& workflow) {
@@ -81,13 +81,14 @@
 }
 
 bool Scheduler::CanRelay() const {
-  return owner_peer_ && owner_peer_->is_open() && owner_table_responds_;
+  return followed_.peer && followed_.peer->is_open() &&
+         followed_.table_responds;
 }
 
 OwnerReachability Scheduler::CheckOwnerReachability() const {
   const TimePoint now = BootClock::now();
-  return {owner_peer_ && owner_peer_->is_open(), now - owner_heartbeat_at_,
-          now - owner_table_answer_at_};
+  return {followed_.peer && followed_.peer->is_open(),
+          now - followed_.heartbeat_at, now - followed_.table_answer_at};
 }
 
 void Scheduler::Submit(Workflow workflow,
@@ -186,7 +187,7 @@
                       Duration timeout,
                       std::function<void(std::optional<uint8_t>)> done) {
   relays_.Add(id, timeout, std::move(done));
-  owner_peer_->Send(call);
+  followed_.peer->Send(call);
 }
 
 void Scheduler::HandleRelay(LinkId link, const RelayedSubmit& call) {
--- a/beamhill/scheduler/scheduler_peers.cc
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -72,28 +72,29 @@
                            hooks_.settings_document()});
 }
 
-void Scheduler::OnOwnerMessage(const DispatchMessage& message,
-                               uint64_t incarnation) {
+void Scheduler::OnOwnerHeartbeat(DialedPeer& peer,
+                                 const SchedulerHeartbeat& heartbeat) {
+  if (heartbeat.epoch >= followed_.record.epoch) {
+    keeper_->OnOwnerHeard(heartbeat.epoch);
+  }
+  followed_.heartbeat_at = BootClock::now();
+  followed_.table_responds = heartbeat.table_silence < kMaxOwnerTableSilence;
+  followed_.table_answer_at = followed_.heartbeat_at - heartbeat.table_silence;
+  hooks_.on_evacuations_copy(heartbeat.evacuations);
+  known_peers_.insert(heartbeat.peers.begin(), heartbeat.peers.end());
+  // If the table answers, this process can succeed the owner.
+  if (heartbeat.table_silence >= kMaxOwnerTableSilence) ProbeTable();
+  if (heartbeat.incarnation != followed_.record.incarnation) {
+    keeper_->OnOwnerGone(followed_.record.incarnation);
+  }
+  SendSettingsIfNewer(heartbeat.settings_version,
+                      [&peer](const DispatchMessage& m) { peer.Send(m); });
+}
+
+void Scheduler::OnOwnerMessage(DialedPeer& peer,
+                               const DispatchMessage& message) {
   if (const auto* heartbeat = std::get_if<SchedulerHeartbeat>(&message)) {
-    if (heartbeat->epoch >= followed_.epoch) {
-      keeper_->OnOwnerHeard(heartbeat->epoch);
-    }
-    owner_heartbeat_at_ = BootClock::now();
-    hooks_.on_evacuations_copy(heartbeat->evacuations);
-    owner_table_responds_ = heartbeat->table_silence < kMaxOwnerTableSilence;
-    owner_table_answer_at_ = owner_heartbeat_at_ - heartbeat->table_silence;
-    known_peers_.insert(heartbeat->peers.begin(), heartbeat->peers.end());
-    // If the table answers, this process can succeed the owner.
-    if (heartbeat->table_silence >= kMaxOwnerTableSilence) ProbeTable();
-    // Compared with the owner that this link was dialed to: messages of the
-    // last owner's link may arrive after this process follows the next one, and
-    // prove nothing about that one.
-    if (heartbeat->incarnation != incarnation) {
-      keeper_->OnOwnerGone(incarnation);
-    }
-    SendSettingsIfNewer(
-        heartbeat->settings_version,
-        [this](const DispatchMessage& m) { owner_peer_->Send(m); });
+    OnOwnerHeartbeat(peer, *heartbeat);
   } else if (const auto* copy = std::get_if<ServiceSettingsCopy>(&message)) {
     hooks_.on_settings_copy(copy->version, copy->document);
   } else if (const auto* new_owner = std::get_if<OwnerAnnounced>(&message)) {
@@ -121,7 +122,9 @@
   }
   unknown_answers_->Add();
   Log(LogLevel::kWarning, "answer_of_unknown_call",
-      {{"call", id}, {"owner", followed_.owner}, {"epoch", followed_.epoch}});
+      {{"call", id},
+       {"owner", followed_.record.owner},
+       {"epoch", followed_.record.epoch}});
 }
 
 LinkHooks Scheduler::OnAccept(Link& link) {
@@ -181,7 +184,7 @@
 
 void Scheduler::Notify(const DispatchMessage& message, const std::string& key) {
   notices_[key] = {message, BootClock::now()};
-  if (owner_peer_) owner_peer_->Send(message);
+  if (followed_.peer) followed_.peer->Send(message);
 }
 
 void Scheduler::ExpireNotices(TimePoint now) {
@@ -191,14 +194,12 @@
   }
 }
 
-void Scheduler::SendNotices() {
-  for (const auto& [key, notice] : notices_) owner_peer_->Send(notice.message);
-}
-
 void Scheduler::QueryPeers(TimePoint now) {
+  const TimePoint last_heard =
+      std::max(followed_.heartbeat_at, followed_.since);
   const bool isolated = !keeper_->owns() &&
                         hooks_.table_silence() >= kIsolatedAfter &&
-                        now - owner_heartbeat_at_ >= kIsolatedAfter;
+                        now - last_heard >= kIsolatedAfter;
   if (!isolated) {
     queried_peers_.Clear();
     unqueried_peers_.clear();
--- a/beamhill/scheduler/scheduler_test_base.h
+++ b/beamhill/scheduler/scheduler_test_base.h
@@ -29,7 +29,7 @@
   void StartScheduler() {
     SchedulerHooks hooks;
     hooks.table_silence = [this] { return table_silence_; };
-    hooks.settings_version = [] { return uint64_t{0}; };
+    hooks.settings_version = [this] { return settings_version_; };
     hooks.settings_document = [] { return std::string(); };
     hooks.on_settings_copy = [](uint64_t, const std::string&) {};
     hooks.evacuations = [this]() -> const Evacuations& { return evacuations_; };
@@ -95,6 +95,7 @@
   Metrics metrics_;
   Evacuations evacuations_;
   Duration table_silence_{};
+  uint64_t settings_version_ = 0;
   Duration lease_term_ = std::chrono::milliseconds(300);
   Duration authority_term_ = std::chrono::seconds(3);
   const Address address_ = {"127.0.0.1", FreePort()};
--- a/beamhill/scheduler/work_owner.cc
+++ b/beamhill/scheduler/work_owner.cc
@@ -270,7 +270,7 @@
 }
 
 void WorkOwner::ScheduleTick() {
-  if (tick_pending_) return;
+  if (tick_pending_ || stopped_) return;
   tick_pending_ = true;
   scheduled_tick_ = loop_.After(kTickDelay, [this] { Tick(); });
 }
@@ -340,7 +340,7 @@
 
 void WorkOwner::MaybeCommit() {
   const TimePoint now = BootClock::now();
-  if (keeper_.committing() || !keeper_.MayAct()) return;
+  if (stopped_ || keeper_.committing() || !keeper_.MayAct()) return;
   if (now < next_commit_at_ && !quiescing_) return;
   if (quiesce_committed_ && on_quiesced_) {
     std::exchange(on_quiesced_, nullptr)();
@@ -378,6 +378,18 @@
   ScheduleTick();
 }
 
+void WorkOwner::Stop() {
+  stopped_ = true;
+  lifetime_.End();
+  on_quiesced_ = nullptr;
+  vms_.clear();
+  for (Timer* timer :
+       {&scheduled_tick_, &tick_, &vm_scan_, &legacy_executor_scan_,
+        &marker_scan_, &summary_, &reload_}) {
+    timer->Cancel();
+  }
+}
+
 void WorkOwner::Quiesce(std::function<void()> done) {
   quiescing_ = true;
   quiesce_started_at_ = BootClock::now();
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -79,6 +79,10 @@
   // `done`. Runs that end later are reported again to the next owner.
   void Quiesce(std::function<void()> done);
 
+  // Stops acting for good: nothing more is sent or stored, and `done` of
+  // Quiesce is not called any more. May be called anywhere, also by `done`.
+  void Stop();
+
   // Among finished workflows of which VMs still hold runs, the time since the
   // first one finished; zero if there is none.
   Duration OldestOrphan() const;
@@ -96,7 +100,7 @@
  private:
   struct VmPeer {
     VmRecord record;
-    std::unique_ptr<DialedPeer> peer;
+    DialedPeerPtr peer;
     Timer reattach;  // While it reports unknown work.
     // Whether its row was written by an executor of this version.
     bool registered = false;
@@ -161,6 +165,7 @@
   std::set<std::string> stale_markers_;  // To be deleted with the next commits.
   bool scanning_vms_ = false;
   bool scanning_markers_ = false;
+  bool stopped_ = false;
   bool quiescing_ = false;
   TimePoint quiesce_started_at_{};
   // Whether a transaction sent since then has taken effect.
--- a/beamhill/scheduler/work_owner_test.cc
+++ b/beamhill/scheduler/work_owner_test.cc
@@ -216,5 +216,21 @@
   EXPECT_TRUE(RunUntil([this] { return owner_->loaded(); }));
 }
 
+// Guards against an owner that goes on to act between the loss of its ownership
+// and its destruction: the process may have taken the work over again by then.
+TEST_F(WorkOwnerTest, StoppedOwnerSendsNothing) {
+  VmWithUnknownWork vm(*loop_, "vm-1");
+  Transaction rows;
+  rows.writes.push_back({rows::kExecutors + vm.Record().vm, kAnyVersion,
+                         EncodeRecord(vm.Record())});
+  table_.model().Commit(rows);
+  ASSERT_TRUE(RunUntil([&] { return vm.attached() >= 2; }));
+  owner_->Stop();
+  const int attached = vm.attached();
+  const Timer later = loop_->After(seconds(1), [this] { loop_->Stop(); });
+  loop_->Run();
+  EXPECT_EQ(vm.attached(), attached);
+}
+
 }  // namespace
 }  // namespace beamhill
--- a/beamhill/scheduler/work_owner_vms.cc
+++ b/beamhill/scheduler/work_owner_vms.cc
@@ -95,20 +95,19 @@
   vm.record = record;
   const std::string name = record.vm;
   DialedPeerHooks hooks;
-  hooks.on_open = [this, name] {
+  hooks.on_open = [this, name](DialedPeer&) {
     newly_linked_.push_back(name);
     dispatcher_->OnLinkUp(name);
     Flush();
   };
-  hooks.on_message = [this, name](const DispatchMessage& message) {
+  hooks.on_message = [this, name](DialedPeer&, const DispatchMessage& message) {
     OnVmMessage(name, message);
   };
-  hooks.on_down = [this, name](bool was_open) {
+  hooks.on_down = [this, name](DialedPeer&, bool was_open) {
     if (was_open) newly_unlinked_.push_back(name);
     dispatcher_->OnLinkDown(name);
   };
-  vm.peer =
-      std::make_unique<DialedPeer>(loop_, ValueOf(address), std::move(hooks));
+  vm.peer = DialedPeer::Dial(loop_, ValueOf(address), std::move(hooks));
 }
 
 void WorkOwner::OnVmMessage(const std::string& vm,
