Executor: a restarted one starts nothing before it knows the latest owner

What callers saw: tasks ran twice at the same time, or again after their end had been reported.

Cause: an owner that is cut off from the table acts for up to 8 s more while its successor acts at once. What keeps the two apart is the epoch that a VM's executor and runner have seen. Both forget it when they lose power together, and the executor then obeyed whichever owner reached it first. That the VM had a row was enough for it to take starts.

Change: an executor reads the owner's row once after its start, as it did already when the VM's row was missing, rejects owners below that epoch, and until then starts nothing on a runner that has not worked. A read that is sent after the restart names the owner of that time or a later one, so an owner that was replaced before the restart is rejected; one that is replaced after it is the usual case, in which the successor waits for the VM's inventory. A runner that has worked has seen its owner's epoch and rejects earlier owners itself, so work goes on there while the table is away, as before.

The log line owner_refused tells both epochs and where the higher one is known from; beamhill_owners_refused_total and beamhill_starts_not_ready_total count.

VmWithARowIsFoundOnceItIsRead expected that the owner's row is not read when the VM's row is there, which is this fault; it now expects the read and the epoch.

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -217,9 +217,7 @@
 
 void Executor::OnAttach(uint64_t link, const Attach& attach) {
   if (attach.epoch < epoch_) {
-    hooks_.log("attach_refused", "",
-               "epoch " + std::to_string(attach.epoch) + " is below " +
-                   std::to_string(epoch_));
+    LogRefusedOwner(attach.epoch);
     hooks_.send(link, VmHeartbeat{epoch_, hooks_.now()});
     return;
   }
@@ -231,6 +229,7 @@
     // originate in this process and stay valid.
     DropOrders();
     epoch_ = attach.epoch;
+    epoch_from_table_ = false;
   }
   owner_link_ = link;
   reported_through_ = 0;
@@ -243,14 +242,22 @@
 
 void Executor::RejectOwnersBelow(uint64_t epoch) {
   if (epoch <= epoch_) return;
-  hooks_.log(
-      "owner_outdated", "",
-      "epoch " + std::to_string(epoch_) + " is below " + std::to_string(epoch));
+  const uint64_t earlier = std::exchange(epoch_, epoch);
+  epoch_from_table_ = true;
   DropOrders();
-  epoch_ = epoch;
+  if (!owner_link_) return;
+  LogRefusedOwner(earlier);
   owner_link_.reset();
 }
 
+void Executor::LogRefusedOwner(uint64_t epoch) {
+  ++counts_.owners_refused;
+  hooks_.log("owner_refused", "",
+             "epoch " + std::to_string(epoch) + " is below " +
+                 std::to_string(epoch_) + ", known from the " +
+                 (epoch_from_table_ ? "table" : "owner itself"));
+}
+
 void Executor::OnLinkDown(uint64_t link) {
   if (owner_link_ == link) owner_link_.reset();
 }
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -65,20 +65,25 @@
   std::function<void(const std::string& event, const std::string& task,
                      const std::string& detail)>
       log;
-  // Whether a new owner would find this VM, so that tasks may start here. If
-  // unset, it would.
-  std::function<bool()> owners_find_vm;
+  // Whether tasks may start here: a new owner would find this VM, and owners
+  // that were replaced before this process started are rejected by
+  // RejectOwnersBelow. If unset, they may.
+  std::function<bool()> ready_for_starts;
 };
 
 struct ExecutorCounts {
-  uint64_t starts = 0;         // Start calls sent to the runner.
-  uint64_t refused = 0;        // Start calls that the runner refused.
-  uint64_t unanswered = 0;     // Start calls that got no answer.
-  uint64_t polls = 0;          // Polls sent to the runner.
-  uint64_t paces = 0;          // Pace calls sent to the runner.
-  uint64_t stale_orders = 0;   // From an earlier owner, link or incarnation.
-  uint64_t withdrawn = 0;      // Starts stopped before they were sent.
-  uint64_t outdated = 0;       // Starts that could not be sent in time.
+  uint64_t starts = 0;        // Start calls sent to the runner.
+  uint64_t refused = 0;       // Start calls that the runner refused.
+  uint64_t unanswered = 0;    // Start calls that got no answer.
+  uint64_t polls = 0;         // Polls sent to the runner.
+  uint64_t paces = 0;         // Pace calls sent to the runner.
+  uint64_t stale_orders = 0;  // From an earlier owner, link or incarnation.
+  uint64_t withdrawn = 0;     // Starts stopped before they were sent.
+  uint64_t outdated = 0;      // Starts that could not be sent in time.
+  // Starts refused by this process; see ExecutorHooks::ready_for_starts.
+  uint64_t not_ready = 0;
+  // Owners refused or given up since a later one is known.
+  uint64_t owners_refused = 0;
   uint64_t runners_lost = 0;   // Incarnations that ended unannounced.
   uint64_t stops = 0;          // Stop calls sent to the runner.
   uint64_t stops_overdue = 0;  // Stops not completed within kCancelLimit.
@@ -101,6 +106,7 @@
   void OnRunnerLeaving(const std::string& incarnation);
 
   // Rejects owners with a lower epoch from now on, even one that is attached.
+  // `epoch` is that of the owner that the table names.
   void RejectOwnersBelow(uint64_t epoch);
 
   void OnMessage(uint64_t link, const DispatchMessage& message);
@@ -215,9 +221,12 @@
                   const StartRun& start);
   // Sends queued starts as far as the limit on calls in flight allows.
   void SendStarts();
-  // Whether a new owner waits for this VM before it starts tasks again that may
-  // run here.
-  bool OwnersWaitForVm() const;
+  // Whether what starts now is known to later owners, and no earlier owner can
+  // start it. A runner that has worked knows its owner's epoch and rejects
+  // earlier ones itself, even if this process has restarted.
+  bool ReadyForStarts() const;
+  // Records that an owner is refused or given up for one of a higher epoch.
+  void LogRefusedOwner(uint64_t epoch);
   // Sends the start and returns true, or reports to the owner that the run does
   // not begin if the start is no longer valid.
   bool SendStart(const RunRef& run, const PendingStart& start);
@@ -322,7 +331,8 @@
   TaskRunner runner_;
   ExecutorHooks hooks_;
 
-  uint64_t epoch_ = 0;
+  uint64_t epoch_ = 0;  // Of the latest owner that this process has heard of.
+  bool epoch_from_table_ = false;  // Else from the owner itself.
   std::optional<uint64_t> owner_link_;
   bool inventory_pending_ = false;
   // An inventory is built only from a poll sent at or after this time: an
--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -318,23 +318,39 @@
 // Guards against a double start: a new owner does not wait for a VM without a
 // row, while the one before may still be linked to it.
 TEST_F(ExecutorLossesTest, NothingStartsWhileOwnersCannotFindTheVm) {
-  owners_find_vm_ = false;
+  ready_for_starts_ = false;
   Register("incarnation-1");
   Attach(1);
   Start(kRun, 1);
   EXPECT_THAT(starts_, IsEmpty());
   ASSERT_THAT(Sent<RunReports>(), SizeIs(1));
   EXPECT_EQ(Sent<RunReports>()[0].not_begun[0].run, kRun);
-  owners_find_vm_ = true;
+  ready_for_starts_ = true;
   const RunRef next{kRun.task, 2};
   Start(next, 1);
   EXPECT_THAT(starts_, SizeIs(1));
 }
 
+TEST_F(ExecutorLossesTest, OwnerRefusedForTheEpochInTheTableIsLogged) {
+  Register("incarnation-1");
+  Attach(1);
+  executor_->RejectOwnersBelow(2);
+  EXPECT_FALSE(executor_->owned());
+  executor_->OnMessage(kLink, ::beamhill::Attach{"a", 1});
+  ASSERT_THAT(logged_["owner_refused"], SizeIs(2));
+  EXPECT_EQ(logged_["owner_refused"][1],
+            "epoch 1 is below 2, known from the table");
+  EXPECT_EQ(executor_->counts().owners_refused, 2);
+  Attach(3);
+  executor_->OnMessage(kLink, ::beamhill::Attach{"a", 2});
+  EXPECT_EQ(logged_["owner_refused"].back(),
+            "epoch 2 is below 3, known from the owner itself");
+}
+
 // An executor that restarts while the table is away must continue to serve: the
 // row of a VM whose runner has worked is there.
 TEST_F(ExecutorLossesTest, RunnerThatHasWorkedKeepsServing) {
-  owners_find_vm_ = false;
+  ready_for_starts_ = false;
   Register("incarnation-1");
   executor_->OnMessage(kLink, ::beamhill::Attach{"a", 1});
   AnswerPoll({{{{"w", 0, 0, 1}, 1}, 30, 1000}});
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -84,9 +84,9 @@
   }
 }
 
-bool Executor::OwnersWaitForVm() const {
-  return runner_has_worked_ || !hooks_.owners_find_vm ||
-         hooks_.owners_find_vm();
+bool Executor::ReadyForStarts() const {
+  return runner_has_worked_ || !hooks_.ready_for_starts ||
+         hooks_.ready_for_starts();
 }
 
 // Stops withdraw queued starts, and a new owner or incarnation of the runner
@@ -100,8 +100,8 @@
     ReportNotBegun(run, NotBegunReason::kOutdated);
     return false;
   }
-  if (!OwnersWaitForVm()) {
-    ++counts_.refused;
+  if (!ReadyForStarts()) {
+    ++counts_.not_ready;
     ReportNotBegun(run, NotBegunReason::kUnhealthy);
     return false;
   }
--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -50,7 +50,7 @@
                  const std::string& detail) {
     Log(LogLevel::kInfo, event, {{"task", task}, {"detail", detail}});
   };
-  hooks.owners_find_vm = [this] { return registration_->found_by_owners(); };
+  hooks.ready_for_starts = [this] { return registration_->ready_for_starts(); };
   executor_ = std::make_unique<Executor>(settings_.executor, std::move(runner),
                                          std::move(hooks));
   const Executor* executor = executor_.get();
@@ -64,6 +64,12 @@
         &ExecutorCounts::starts);
   gauge("beamhill_starts_refused_total", "Starts that the runner refused.",
         &ExecutorCounts::refused);
+  gauge("beamhill_starts_not_ready_total",
+        "Starts refused since the VM's or the owner's row was not read yet.",
+        &ExecutorCounts::not_ready);
+  gauge("beamhill_owners_refused_total",
+        "Owners refused or given up since a later one is known.",
+        &ExecutorCounts::owners_refused);
   gauge("beamhill_starts_unanswered_total", "Starts without an answer.",
         &ExecutorCounts::unanswered);
   gauge("beamhill_looks_total", "Looks at the runner.", &ExecutorCounts::polls);
--- a/beamhill/executor/executor_test_base.h
+++ b/beamhill/executor/executor_test_base.h
@@ -53,7 +53,7 @@
                        const std::string& detail) {
       logged_[event].push_back(detail);
     };
-    hooks.owners_find_vm = [this] { return owners_find_vm_; };
+    hooks.ready_for_starts = [this] { return ready_for_starts_; };
     executor_ = std::make_unique<Executor>(options, std::move(runner), hooks);
   }
 
@@ -146,7 +146,7 @@
   }
 
   TimePoint now_{std::chrono::hours(1)};
-  bool owners_find_vm_ = true;
+  bool ready_for_starts_ = true;
   std::unique_ptr<Executor> executor_;
   std::deque<std::pair<RunnerStart, std::function<void(RunnerReply)>>> starts_;
   std::deque<std::pair<RunnerStop, std::function<void(RunnerReply)>>> stops_;
--- a/beamhill/executor/vm_registration.h
+++ b/beamhill/executor/vm_registration.h
@@ -12,6 +12,11 @@
 // failed calls are retried with exponential backoff and jitter: with 800 VMs
 // the writes alone would keep one partition busy for seconds.
 //
+// Which owner is the latest is known only to processes that have heard of it:
+// after a power failure neither the executor nor the runner has. An owner that
+// was replaced, but has not noticed that yet, may be the first to reach them.
+// So the owner's row is read once as well, and nothing new starts before.
+//
 // A removal by an earlier process of the VM can take effect late. The row is
 // therefore checked again while no owner sends messages.
 //
@@ -42,8 +47,9 @@
   std::function<Duration()> since_owner;
   // Whether the runner has announced its exit and has since been found gone.
   std::function<bool()> runner_is_gone;
-  // Receives the epoch of the owner that the table names. Called after a
-  // missing row was stored and before a registration is passed on.
+  // Receives the epoch of the owner that the table names: once after the start
+  // of this process, and again whenever a missing row was stored, before a
+  // registration that waits is passed on.
   std::function<void(uint64_t epoch)> on_owner_epoch;
   std::function<void(const std::string& event, const std::string& detail)> log;
 };
@@ -66,9 +72,11 @@
   void OnRunnerLeaving(const std::string& incarnation);
   // Whether the row was correct when it was last read or written.
   bool stored() const { return state_ == RowState::kStored; }
-  // Whether a new owner finds this VM: the row is stored, and if it was missing
-  // while a runner was served, `on_owner_epoch` has been called since.
-  bool found_by_owners() const { return stored() && !owner_epoch_due_; }
+  // Whether tasks may start on this VM, as far as the table is concerned: a new
+  // owner finds it, since the row is stored, and owners that were replaced are
+  // rejected, since `on_owner_epoch` has been called after the start of this
+  // process and, if the row was missing while a runner was served, after that.
+  bool ready_for_starts() const { return stored() && !owner_epoch_due_; }
   // How long the row has been stored, as far as this process knows: owners
   // can't find the VM before that. Zero while it is not stored.
   Duration StoredFor() const;
@@ -137,9 +145,9 @@
   std::optional<WaitingRegistration> waiting_;
   // The incarnation whose registration was passed on last.
   std::string served_incarnation_;
-  // The row was missing while a runner was served: owners below the epoch that
-  // the table names must be rejected.
-  bool owner_epoch_due_ = false;
+  // The owner's row must be read: this process has not done so yet, or the VM's
+  // row was missing while a runner was served.
+  bool owner_epoch_due_ = true;
   // A runner has registered and is not known to be gone: a missing row is to be
   // stored.
   bool runner_registered_ = false;
--- a/beamhill/executor/vm_registration_owners_test.cc
+++ b/beamhill/executor/vm_registration_owners_test.cc
@@ -72,21 +72,41 @@
   const auto registration = Make("10.0.0.1:1");
   AdvanceTime(seconds(1), *registration);
   ASSERT_THAT(passed_on_, ElementsAre("runner/1"));
-  EXPECT_FALSE(registration->found_by_owners());
+  EXPECT_FALSE(registration->ready_for_starts());
   table_.set_fault(TableFault::kNone);
   AdvanceTime(seconds(8), *registration);
-  EXPECT_TRUE(registration->found_by_owners());
+  EXPECT_TRUE(registration->ready_for_starts());
   EXPECT_THAT(owner_epochs_, ElementsAre(5));
 }
 
-TEST_F(VmRegistrationOwnersTest, VmWithARowIsFoundOnceItIsRead) {
+// Guards against a double start: an executor that restarts together with its
+// runner does not know which owner is the latest, even if the VM's row is
+// there.
+TEST_F(VmRegistrationOwnersTest, VmWithARowIsReadyOnceTheOwnersRowIsRead) {
   const auto first = Make("10.0.0.1:1");
   AdvanceTime(seconds(1), *first);
   StoreOwner(5);
   const auto restarted = Make("10.0.0.1:1");
-  EXPECT_FALSE(restarted->found_by_owners());
+  EXPECT_FALSE(restarted->ready_for_starts());
   AdvanceTime(seconds(1), *restarted);
-  EXPECT_TRUE(restarted->found_by_owners());
+  EXPECT_TRUE(restarted->ready_for_starts());
+  EXPECT_THAT(owner_epochs_, ElementsAre(5));
+}
+
+// The owner's row is read once for each process, however long it lives.
+TEST_F(VmRegistrationOwnersTest, OwnersRowIsReadOnceAfterARestart) {
+  StoreOwner(5);
+  const auto registration = Make("10.0.0.1:1");
+  AdvanceTime(seconds(60), *registration);
+  Register(*registration, "runner/2");
+  AdvanceTime(seconds(60), *registration);
+  EXPECT_THAT(owner_epochs_, ElementsAre(5));
+}
+
+TEST_F(VmRegistrationOwnersTest, VmIsReadyBeforeThereIsAnyOwner) {
+  const auto registration = Make("10.0.0.1:1");
+  AdvanceTime(seconds(1), *registration);
+  EXPECT_TRUE(registration->ready_for_starts());
   EXPECT_THAT(owner_epochs_, IsEmpty());
 }
 
--- a/beamhill/replay/fleet_restart_test.cc
+++ b/beamhill/replay/fleet_restart_test.cc
@@ -158,6 +158,9 @@
     hooks.send = [this, &vm](uint64_t, const DispatchMessage& message) {
       After(kMessageDelay, [this, &vm, message] { OnVmMessage(vm, message); });
     };
+    hooks.ready_for_starts = [&vm] {
+      return vm.registration->ready_for_starts();
+    };
     vm.executor = std::make_unique<Executor>(ExecutorOptions{}, RunnerCalls(vm),
                                              std::move(hooks));
     VmRegistrationHooks row_hooks;
--- a/beamhill/replay/fleet_start.cc
+++ b/beamhill/replay/fleet_start.cc
@@ -169,9 +169,10 @@
   }
 
   void RecordRegistrations() {
-    const bool all = std::all_of(
-        registrations_.begin(), registrations_.end(),
-        [](const auto& registration) { return registration->stored(); });
+    const bool all = std::all_of(registrations_.begin(), registrations_.end(),
+                                 [](const auto& registration) {
+                                   return registration->ready_for_starts();
+                                 });
     if (all && outcome_.registration_time == options_.time_limit) {
       outcome_.registration_time = time_.now() - first_scheduler_start_;
     }
--- a/beamhill/replay/fleet_start.h
+++ b/beamhill/replay/fleet_start.h
@@ -48,7 +48,8 @@
   size_t claims = 0;
   // Times that the ownership was taken; 1 is expected.
   size_t owners = 0;
-  // When every VM's row was up to date; `time_limit` if that took longer.
+  // When every VM was ready for starts: its row was up to date, and it had read
+  // the owner's row. `time_limit` if that took longer.
   Duration registration_time{};
   TimedTableCounts table;
 };
