Workflow: all failed members of a gang's run are one attempt

Cause: the failed runs of all members were added up.

Change: a gang's attempts are the different run numbers that failed, whichever members they failed at. The latency objective counts them in the same way. Stored records are as before.

Before: FailedMembersOfOneGangRunAreOneAttempt fails (3 attempts in place of 1, state failed). After: passes; GangFailsAfterItsLastAttemptWhicheverMemberFailed holds before and after.

--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -1,6 +1,7 @@
 #include "beamhill/workflow/workflow_progress.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace beamhill {
@@ -217,6 +218,7 @@
 }
 
 size_t WorkflowProgress::MaxFailures(uint32_t round, uint32_t step) const {
+  if (workflow_.steps[step].gang) return GangAttemptsFailed(round, step);
   size_t most = 0;
   for (const Task& task : TasksOf(round, step)) {
     most = std::max(most, task.failed_runs.size());
@@ -305,20 +307,23 @@
       std::find(failed.begin(), failed.end(), run) != failed.end();
   if (step.long_running || counted) return false;
   failed.push_back(run);
-  size_t failures = failed.size();
-  if (step.gang) {
-    // A gang fails as a whole, so the failures of all members count.
-    failures = 0;
-    for (const Task& member : TasksOf(ref.round, ref.step)) {
-      failures += member.failed_runs.size();
-    }
-  }
-  if (failures >= workflow_.policy.max_attempts) {
+  const size_t attempts =
+      step.gang ? GangAttemptsFailed(ref.round, ref.step) : failed.size();
+  if (attempts >= workflow_.policy.max_attempts) {
     state_ = WorkflowState::kFailed;
   }
   return true;
 }
 
+size_t WorkflowProgress::GangAttemptsFailed(uint32_t round,
+                                            uint32_t step) const {
+  std::set<uint64_t> runs;
+  for (const Task& member : TasksOf(round, step)) {
+    runs.insert(member.failed_runs.begin(), member.failed_runs.end());
+  }
+  return runs.size();
+}
+
 bool WorkflowProgress::OnEnded(const TaskRef& ref, uint64_t run,
                                RunEndKind kind, const std::string& checkpoint,
                                TimePoint now) {
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -149,7 +149,8 @@
   // Returns the expected duration of the round's critical path over steps that
   // aren't done. A running task counts with its remaining time.
   Duration RemainingCriticalPath(uint32_t round, TimePoint now) const;
-  // Returns the number of failed runs of the step's task that has most of them.
+  // Returns the number of failed runs of the step's task that has most of them,
+  // or of the step's gang.
   size_t MaxFailures(uint32_t round, uint32_t step) const;
   // Returns the expected CPU time of the round's tasks that aren't done.
   double RemainingCoreSeconds(uint32_t round) const;
@@ -198,6 +199,9 @@
   void CompleteIfAllDone();
   void MarkDone(const TaskRef& ref, Task& task);
   bool CountFailure(const TaskRef& ref, uint64_t run);
+  // Returns how many runs of the gang have failed. All members of a run have
+  // its number, and however many of them end as failed, it is one attempt.
+  size_t GangAttemptsFailed(uint32_t round, uint32_t step) const;
   void ReleaseRun(Task& task, uint64_t run, TimePoint now);
 
   Workflow workflow_;
--- a/beamhill/workflow/workflow_progress_test.cc
+++ b/beamhill/workflow/workflow_progress_test.cc
@@ -143,6 +143,35 @@
   EXPECT_TRUE(progress.StepDone(0, 0));
 }
 
+// Guards against gangs that fail after one attempt: a runner that fails all
+// that it starts ended four members of one run, which counted as four attempts.
+TEST(WorkflowProgressTest, FailedMembersOfOneGangRunAreOneAttempt) {
+  Workflow workflow = TwoStepWorkflow(2);
+  workflow.steps[0].gang = true;
+  WorkflowProgress progress(workflow);
+  for (uint32_t i = 0; i < 3; ++i) {
+    RunOnce(progress, MakeTask(0, i), 1, RunEndKind::kFailed);
+  }
+  EXPECT_EQ(progress.state(), WorkflowState::kRunning);
+  EXPECT_EQ(progress.MaxFailures(0, 0), 1);
+  WorkflowProgress restored(workflow);
+  restored.Restore(progress.Record(1));
+  RunOnce(restored, MakeTask(0, 2), 2, RunEndKind::kFailed);
+  EXPECT_EQ(restored.state(), WorkflowState::kFailed);
+}
+
+// Failures of different members in different runs are attempts of one gang.
+TEST(WorkflowProgressTest, GangFailsAfterItsLastAttemptWhicheverMemberFailed) {
+  Workflow workflow = TwoStepWorkflow(3);
+  workflow.steps[0].gang = true;
+  WorkflowProgress progress(workflow);
+  for (uint32_t i = 0; i < 3; ++i) {
+    EXPECT_FALSE(progress.over());
+    RunOnce(progress, MakeTask(0, i), i + 1, RunEndKind::kFailed);
+  }
+  EXPECT_EQ(progress.state(), WorkflowState::kFailed);
+}
+
 TEST(WorkflowProgressTest, LongRunningTaskStartsAgainHoweverItEnds) {
   Workflow workflow = TwoStepWorkflow(1);
   workflow.steps[0].long_running = true;
