Executor, owner: a run whose end is not listed yet is not taken for never begun

What callers would have seen: a task that is done runs again.

Cause: a runner lists 500 ends at a time, the rest once these are acknowledged. An executor that awaited the outcome of a start or stop took a run that was neither running nor listed for one that never began, and a new owner took the inventory for complete. With 500 ends that nobody acknowledges, since the store is away, both were wrong: the task was started again, and its end listed later.

Change: a list of 500 ends counts as possibly incomplete (RunnerView::more_ends, VmInventory::more_ends). The new field of VmInventory is left out while it is false, so that earlier versions read the message.

--- a/beamhill/dispatch/dispatch_messages.h
+++ b/beamhill/dispatch/dispatch_messages.h
@@ -227,11 +227,15 @@
   // Incarnations that ended recently, newest last, even if an earlier owner was
   // told of them.
   std::vector<PastIncarnation> past_incarnations;
+  // The runner may keep further ends, which it lists once these are
+  // acknowledged: a run that is not listed may have ended.
+  bool more_ends = false;
 
+  static constexpr size_t kFieldsAtFirst = 6;  // Old messages lack the last.
   template <typename S>
   static auto Fields(S& s) {
     return std::tie(s.epoch, s.status, s.running, s.pending, s.ended,
-                    s.past_incarnations);
+                    s.past_incarnations, s.more_ends);
   }
 };
 
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -248,7 +248,8 @@
   for (const RunEnd& end : inventory.ended) {
     ApplyListedEnd(vm, state, end, now);
   }
-  StopMissing(state, inventory, now);
+  state.more_ends = inventory.more_ends;
+  if (!state.more_ends) StopMissing(state, inventory, now);
   for (const RunRef& run : inventory.running) {
     if (state.held.count(run) == 0) {
       Adopt(vm, state, run, now);
@@ -261,7 +262,7 @@
   SendTraits(vm, state);
   // An earlier owner may have set another policy.
   Send(vm, PacePolicyNotice{options_.epoch, best_effort_load_.policy()});
-  unreconciled_.erase(vm);
+  if (!state.more_ends) unreconciled_.erase(vm);
   return true;
 }
 
--- a/beamhill/dispatch/dispatcher.cc
+++ b/beamhill/dispatch/dispatcher.cc
@@ -181,7 +181,8 @@
 
 void Dispatcher::RetryAttach() {
   for (const auto& [name, vm] : vms_) {
-    if (vm.linked && !vm.has_inventory) SendAttach(name);
+    const bool complete = vm.has_inventory && !vm.more_ends;
+    if (vm.linked && !complete) SendAttach(name);
   }
 }
 
--- a/beamhill/dispatch/dispatcher_test.cc
+++ b/beamhill/dispatch/dispatcher_test.cc
@@ -77,6 +77,24 @@
   EXPECT_THAT(Tick().starts, SizeIs(1));
 }
 
+// Guards against a task that runs again after it was done: a runner lists a
+// limited number of ends at a time, and the others looked as if they had never
+// begun.
+TEST_F(DispatcherTest, InheritedWorkWaitsForEndsThatAreNotListedYet) {
+  TakeOwnership({"vm-1"});
+  dispatcher_->OnLinkUp("vm-1");
+  ReceiveInventory("vm-1", {}, {}, /*more_ends=*/true);
+  dispatcher_->AddWorkflow(SingleStepWorkflow("a", 1, 1), std::nullopt, now_);
+  ASSERT_TRUE(CommitProgress());
+  EXPECT_THAT(Tick().starts, IsEmpty());
+  dispatcher_->RetryAttach();  // Asks for the rest.
+  ReceiveInventory("vm-1", {},
+                   {{501, {{"a", 0, 0, 0}, 1}, RunEndKind::kDone, ""}});
+  EXPECT_THAT(Tick().starts, IsEmpty());
+  ASSERT_TRUE(CommitProgress());
+  EXPECT_EQ(dispatcher_->StateOf("a"), WorkflowState::kCompleted);
+}
+
 TEST_F(DispatcherTest, InheritedWorkWaitsUntilLeasesOfASilentVmExpire) {
   TakeOwnership({"vm-1", "vm-2"});
   ConnectVm("vm-1");
--- a/beamhill/dispatch/dispatcher_test_base.h
+++ b/beamhill/dispatch/dispatcher_test_base.h
@@ -80,10 +80,17 @@
 
   // Delivers the VM's inventory, then a heartbeat.
   void ReceiveInventory(const std::string& vm, std::vector<RunRef> running = {},
-                        std::vector<RunEnd> ended = {}) {
-    dispatcher_->OnInventory(
-        vm, {2, StatusOf(vm), std::move(running), {}, std::move(ended), {}},
-        now_);
+                        std::vector<RunEnd> ended = {},
+                        bool more_ends = false) {
+    dispatcher_->OnInventory(vm,
+                             {2,
+                              StatusOf(vm),
+                              std::move(running),
+                              {},
+                              std::move(ended),
+                              {},
+                              more_ends},
+                             now_);
     dispatcher_->OnHeartbeat(vm, {2, now_}, now_);
   }
 
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -152,7 +152,9 @@
   VmStatus status;
   bool linked = false;
   bool has_inventory = false;  // Received in this epoch.
-  bool leased = false;         // A lease was granted since then.
+  // The inventory may lack ends, and another one is asked for.
+  bool more_ends = false;
+  bool leased = false;  // A lease was granted since then.
   // End of the runner's slow warm-up after its start, and whether it is still
   // warming up.
   TimePoint warm_at{};
--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -331,6 +331,31 @@
   EXPECT_THAT(starts_, SizeIs(1));
 }
 
+// Guards against a task that runs again after it was done: the runner lists a
+// limited number of ends at a time, and a run whose end was not listed yet was
+// reported as never begun.
+TEST_F(ExecutorLossesTest, RunWithoutAnyListedEndMayStillBeListed) {
+  Register("incarnation-1");
+  Attach(1);
+  Start(kRun, 1);
+  StartAnswered(kRun, RunnerVerdict::kNoAnswer);
+  executor_->OnMessage(kLink, StopRuns{1, "incarnation-1", {kRun}});
+  AnswerAll(stops_);
+  const RunEnd first{1, {{"w", 0, 0, 1}, 1}, RunEndKind::kDone, ""};
+  const RunEnd last{501, kRun, RunEndKind::kDone, ""};
+  for (int i = 0; i < 4; ++i) {
+    AdvanceTime(milliseconds(300));
+    AnswerPoll({}, {first}, /*more_ends=*/true);
+    AnswerAll(stops_);
+  }
+  for (const RunReports& reports : Sent<RunReports>()) {
+    EXPECT_THAT(reports.not_begun, IsEmpty());
+  }
+  AdvanceTime(milliseconds(300));
+  AnswerPoll({}, {last});
+  EXPECT_THAT(Sent<RunReports>().back().ended, SizeIs(1));
+}
+
 TEST_F(ExecutorLossesTest, OwnerRefusedForTheEpochInTheTableIsLogged) {
   Register("incarnation-1");
   Attach(1);
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -301,6 +301,8 @@
   for (const auto& [run, seen] : std::map<RunRef, Order>(orders_)) {
     if (sent_at < seen.phase_began_at) continue;
     const bool runs = running.count(run) > 0;
+    // Its end may not be listed yet.
+    if (!runs && view.more_ends) continue;
     if (seen.phase == Phase::kUncertain) {
       if (runs) {
         OnBegun(run);
--- a/beamhill/executor/executor_polling.cc
+++ b/beamhill/executor/executor_polling.cc
@@ -226,6 +226,7 @@
   }
   for (const auto& [run, order] : orders_) inventory.pending.push_back(run);
   inventory.ended = view.ended;
+  inventory.more_ends = view.more_ends;
   AddPastIncarnations(inventory);
   inventory_pending_ = false;
   reported_through_ = HighestEndNumber(view.ended);
--- a/beamhill/executor/executor_test_base.h
+++ b/beamhill/executor/executor_test_base.h
@@ -68,7 +68,7 @@
 
   // Answers the oldest poll in flight; waits up to 2 s for one to be sent.
   void AnswerPoll(std::vector<RunningRun> running = {},
-                  std::vector<RunEnd> ended = {}) {
+                  std::vector<RunEnd> ended = {}, bool more_ends = false) {
     for (int i = 0; polls_.empty() && i < 20; ++i) {
       AdvanceTime(std::chrono::milliseconds(100));
     }
@@ -78,7 +78,8 @@
     last_poll_ = call;
     done({{RunnerVerdict::kDone, RunnerClock(1000)},
           std::move(running),
-          std::move(ended)});
+          std::move(ended),
+          more_ends});
   }
 
   void Attach(uint64_t epoch) {
--- a/beamhill/executor/task_runner.h
+++ b/beamhill/executor/task_runner.h
@@ -91,6 +91,9 @@
   RunnerReply reply;
   std::vector<RunningRun> running;
   std::vector<RunEnd> ended;
+  // The runner may keep further ends, which it lists once these are
+  // acknowledged: a run that is not listed may have ended.
+  bool more_ends = false;
 };
 
 // Maximum number of calls of each kind in flight. The executor queues further
