Scheduler: the address that others are told can differ from that of the listener

Schedulers dialed the address on which a peer listens, so that nothing could stand between them: neither an address translation nor the proxy of a test. The optional setting `advertised` names the address that heartbeats and the owner's row carry. Without it, nothing changes.

--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -109,7 +109,7 @@
   OwnershipKeeperOptions options;
   options.name = settings_.name;
   options.incarnation = incarnation_;
-  options.address = ToString(settings_.peers);
+  options.address = OwnAddress();
   options.authority_term = settings_.authority_term;
   OwnershipKeeperHooks hooks;
   hooks.now = [] { return BootClock::now(); };
--- a/beamhill/scheduler/scheduler.h
+++ b/beamhill/scheduler/scheduler.h
@@ -40,6 +40,8 @@
 struct SchedulerSettings {
   std::string name;
   Address peers;  // Listens here for links from other schedulers.
+  // Where other schedulers reach this one, if not at `peers`.
+  std::optional<Address> advertised;
   // How long runs on a VM may continue after its last answered heartbeat.
   Duration lease_term = std::chrono::seconds(5);
   // How long an owner may act after its last transaction that took effect.
@@ -158,6 +160,8 @@
   // Returns the answer to a heartbeat of `peer`; the owner's contains addresses
   // of some other peers.
   SchedulerHeartbeat HeartbeatFor(Peer& peer);
+  // Where other schedulers reach this one.
+  std::string OwnAddress() const;
   // Addresses of all known schedulers except this one.
   std::vector<Address> KnownAddresses() const;
   // Sends the service settings if the peer's version is older.
--- a/beamhill/scheduler/scheduler_peers.cc
+++ b/beamhill/scheduler/scheduler_peers.cc
@@ -37,10 +37,14 @@
   return "cancel " + workflow;
 }
 
+std::string Scheduler::OwnAddress() const {
+  return ToString(settings_.advertised.value_or(settings_.peers));
+}
+
 SchedulerHeartbeat Scheduler::Heartbeat() const {
   SchedulerHeartbeat heartbeat;
   heartbeat.name = settings_.name;
-  heartbeat.address = ToString(settings_.peers);
+  heartbeat.address = OwnAddress();
   heartbeat.incarnation = incarnation_;
   heartbeat.epoch = keeper_->owns() ? keeper_->epoch() : 0;
   heartbeat.known_epoch = keeper_->record().epoch;
@@ -249,7 +253,7 @@
   std::vector<Address> addresses;
   for (const std::string& text : known_peers_) {
     const Result<Address> address = ParseAddress(text);
-    if (!IsOk(address) || text == ToString(settings_.peers)) continue;
+    if (!IsOk(address) || text == OwnAddress()) continue;
     addresses.push_back(ValueOf(address));
   }
   return addresses;
