--- a/beamhill/testing/child_process.cc
+++ b/beamhill/testing/child_process.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <string>
 #include <utility>
 
 #include "beamhill/base/error.h"
@@ -42,18 +43,40 @@
                                  arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
   CheckInvariant(result == 0, "the child process starts");
+  stop_requested_ = false;
+}
+
+void ChildProcess::OnEnded(int status) {
+  pid_ = 0;
+  const int signal_number = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
+  const bool stopped_as_requested =
+      stop_requested_ && (signal_number == 0 || signal_number == SIGTERM ||
+                          signal_number == SIGKILL);
+  if (stopped_as_requested) return;
+  unexpected_end_ = signal_number != 0
+                        ? "signal " + std::to_string(signal_number)
+                        : "exit code " + std::to_string(WEXITSTATUS(status));
+}
+
+std::string ChildProcess::TakeUnexpectedEnd() {
+  return std::exchange(unexpected_end_, "");
 }
 
 void ChildProcess::Signal(int signal_number) {
-  if (pid_ == 0) return;
+  if (Ended()) return;
+  if (signal_number == SIGKILL || signal_number == SIGTERM) {
+    stop_requested_ = true;
+  }
   kill(pid_, signal_number);
   if (signal_number != SIGKILL) return;
-  waitpid(pid_, nullptr, 0);
-  pid_ = 0;
+  int status = 0;
+  waitpid(pid_, &status, 0);
+  OnEnded(status);
 }
 
 bool ChildProcess::Ended() {
-  if (pid_ != 0 && waitpid(pid_, nullptr, WNOHANG) != 0) pid_ = 0;
+  int status = 0;
+  if (pid_ != 0 && waitpid(pid_, &status, WNOHANG) != 0) OnEnded(status);
   return pid_ == 0;
 }
 
--- a/beamhill/testing/child_process.h
+++ b/beamhill/testing/child_process.h
@@ -35,12 +35,21 @@
   bool started() const { return pid_ != 0; }
   // Checks without waiting whether the process has ended or was never started.
   bool Ended();
+  // How the process ended by itself, such as "signal 11": without a SIGTERM or
+  // SIGKILL of Signal(), or by another signal after one. Empty if it did not,
+  // as far as Ended() and Signal() have found. Returns each end once.
+  std::string TakeUnexpectedEnd();
 
  private:
+  // Records the end with this status, as waitpid reports it.
+  void OnEnded(int status);
+
   std::vector<std::string> command_;
   std::string log_path_;
   Capture capture_ = Capture::kOutput;
   pid_t pid_ = 0;  // 0: not started, or known to have ended.
+  bool stop_requested_ = false;
+  std::string unexpected_end_;
 };
 
 }  // namespace beamhill
