--- a/beamhill/replay/owner_fencing_replay.cc
+++ b/beamhill/replay/owner_fencing_replay.cc
@@ -289,8 +289,8 @@
   }
 
   void CollectCounts() {
-    if (executor_)
-      outcome_.owners_refused += executor_->counts().owners_refused;
+    if (!executor_) return;
+    outcome_.owners_refused += executor_->counts().owners_refused;
   }
 
   // The owners.
