Child process: inherits no descriptors of the test

Cause: a process that is being started holds copies of the test's sockets. Close-on-exec ends that, but only after exec has let the parent go on. A runner that restarts at that moment closes its listener, listens again, and finds the port taken by the copy. Sockets of the proxies have no close-on-exec at all: they stayed open in children, so that a connection that a proxy had reset or closed could stay half open.

Change: the child closes all descriptors but the standard streams before exec, while its parent still waits.

--- a/beamhill/testing/child_process.cc
+++ b/beamhill/testing/child_process.cc
@@ -39,6 +39,10 @@
     posix_spawn_file_actions_addopen(&actions, fd, log_path_.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, kLogMode);
   }
+  // Close-on-exec is not enough: exec closes such descriptors only after it has
+  // let this process go on, which may listen on the port of a socket that it
+  // has just closed.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int result = posix_spawn(&pid_, arguments[0], &actions, nullptr,
                                  arguments.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/beamhill/testing/child_process.h
+++ b/beamhill/testing/child_process.h
@@ -24,8 +24,9 @@
   ChildProcess(std::vector<std::string> command, std::string log,
                Capture capture);
 
-  // Starts the program, appending to the log. Ends the test process if the
-  // program can't be started.
+  // Starts the program, appending to the log. It inherits no descriptors but
+  // the standard streams: a copy of a socket would keep a connection open that
+  // the test closes. Ends the test process if the program can't be started.
   void Start();
   // Sends a signal; does nothing if the process isn't started. After SIGKILL,
   // waits until the process has ended.
