--- a/beamhill/http/http_server.cc
+++ b/beamhill/http/http_server.cc
@@ -8,7 +8,9 @@
 #include <netdb.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <cstdlib>
+#include <cstring>
 
 #include "beamhill/http/internal/evhttp_util.h"
 
@@ -180,9 +182,11 @@
   evhttp_bound_socket* socket =
       evhttp_bind_socket_with_handle(http, ip.c_str(), port);
   if (socket == nullptr) {
+    const std::string reason = std::strerror(errno);
     evhttp_free(http);
-    return Error{ErrorCode::kUnavailable,
-                 "cannot listen on " + ip + ":" + std::to_string(port),
+    return Error{
+        ErrorCode::kUnavailable,
+        "cannot listen on " + ip + ":" + std::to_string(port) + ": " + reason,
                  "check that the address belongs to this VM and that no other "
                  "process uses the port"};
   }
--- a/beamhill/link/link.cc
+++ b/beamhill/link/link.cc
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <cerrno>
 #include <cstring>
 #include <map>
 #include <utility>
@@ -322,7 +323,8 @@
   if (impl->listener == nullptr) {
     return Error{
         ErrorCode::kUnavailable,
-        "cannot listen on " + address.ip + ":" + std::to_string(address.port),
+        "cannot listen on " + address.ip + ":" + std::to_string(address.port) +
+            ": " + std::strerror(errno),
         "check that the address belongs to this VM and that no other process "
         "uses the port"};
   }
