Executor: ends of a silent runner don't show that it knows the latest owner

Cause: an executor that has restarted starts nothing before it has read the owner's row, unless its runner "has worked", which was taken to mean that the runner knows the latest owner's epoch. A runner that is silent until all its leases have expired is reported to a new owner as empty, and does not hear of that owner's epoch. When it answers again, the ends of the runs that lapsed counted as work. If its executor restarts then and the table does not answer at once, an owner that was replaced attaches first and starts tasks there.

Change: only an active run counts. Its lease has not expired, so the runner was never reported as empty. docs/design/takeover.md has the order of events. What it costs: with the table away, a VM whose executor restarts while its runner is idle takes no work until the table answers, even if the runner lists ends.

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -111,7 +111,7 @@
   highest_end_listed_ = 0;
   reported_through_ = 0;
   clock_known_ = false;
-  runner_has_worked_ = false;
+  active_run_listed_ = false;
   stall_detector_ = StallDetector();
   pacer_ = Pacer(options_.harm_after);
   pacer_.set_policy(pace_policy_);
--- a/beamhill/executor/executor.h
+++ b/beamhill/executor/executor.h
@@ -222,8 +222,15 @@
   // Sends queued starts as far as the limit on calls in flight allows.
   void SendStarts();
   // Whether what starts now is known to later owners, and no earlier owner can
-  // start it. A runner that has worked knows its owner's epoch and rejects
-  // earlier ones itself, even if this process has restarted.
+  // start it.
+  //
+  // A runner that has listed an active run is ready even if this process has
+  // restarted and can't reach the table. It was given that run while the VM had
+  // a row, by the latest owner of that time, and its lease has not expired
+  // since. An owner that took over later could learn of the runner's work only
+  // from the runner, which knows its epoch then and rejects earlier owners
+  // itself. Without an active run it may be a runner that was silent until all
+  // leases had expired, which is reported as empty without knowing that epoch.
   bool ReadyForStarts() const;
   // Records that an owner is refused or given up for one of a higher epoch.
   void LogRefusedOwner(uint64_t epoch);
@@ -367,9 +374,9 @@
   bool clock_known_ = false;
   TimePoint last_answer_{};  // Of the current incarnation, to any call.
 
-  // The current incarnation has listed a run or an end. A runner is given work
-  // only while the VM has a row, and the row stays until it is gone.
-  bool runner_has_worked_ = false;
+  // The current incarnation has listed an active run to this process: see
+  // ReadyForStarts.
+  bool active_run_listed_ = false;
   std::map<RunRef, Order> orders_;
   CallQueue<PendingStart> start_queue_;
   CallQueue<PendingStop> stop_queue_;
--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -373,8 +373,8 @@
 }
 
 // An executor that restarts while the table is away must continue to serve: the
-// row of a VM whose runner has worked is there.
-TEST_F(ExecutorLossesTest, RunnerThatHasWorkedKeepsServing) {
+// row of a VM with an active run is there.
+TEST_F(ExecutorLossesTest, RunnerWithAnActiveRunKeepsServing) {
   ready_for_starts_ = false;
   Register("incarnation-1");
   executor_->OnMessage(kLink, ::beamhill::Attach{"a", 1});
@@ -386,7 +386,24 @@
   AnswerPoll();
   AnswerPoll();
   Start({kRun.task, 3}, 1);
-  EXPECT_THAT(starts_, SizeIs(1));  // The next one has not worked yet.
+  EXPECT_THAT(starts_, SizeIs(1));  // The next one has no run yet.
+}
+
+// Guards against tasks that run twice: a runner that was silent beyond all its
+// leases has been reported as empty to an owner whose epoch it does not know.
+// Its ends don't show that it knows the latest owner's epoch.
+TEST_F(ExecutorLossesTest, RunnerThatOnlyListsEndsWaitsForTheOwnersRow) {
+  ready_for_starts_ = false;
+  Register("incarnation-1");
+  executor_->OnMessage(kLink, ::beamhill::Attach{"a", 1});
+  AnswerPoll({}, {{1, kRun, RunEndKind::kLapsed, ""}});
+  executor_->OnMessage(kLink, RenewLease{1, now_, seconds(5)});
+  Start({kRun.task, 2}, 1);
+  EXPECT_THAT(starts_, IsEmpty());
+  EXPECT_EQ(executor_->counts().not_ready, 1);
+  ready_for_starts_ = true;
+  Start({kRun.task, 3}, 1);
+  EXPECT_THAT(starts_, SizeIs(1));
 }
 
 }  // namespace
--- a/beamhill/executor/executor_orders.cc
+++ b/beamhill/executor/executor_orders.cc
@@ -85,7 +85,7 @@
 }
 
 bool Executor::ReadyForStarts() const {
-  return runner_has_worked_ || !hooks_.ready_for_starts ||
+  return active_run_listed_ || !hooks_.ready_for_starts ||
          hooks_.ready_for_starts();
 }
 
--- a/beamhill/executor/executor_polling.cc
+++ b/beamhill/executor/executor_polling.cc
@@ -127,8 +127,8 @@
   }
   NoteClock(view.reply.clock);
   last_answer_ = now;
-  runner_has_worked_ =
-      runner_has_worked_ || !view.running.empty() || !view.ended.empty();
+  // Ends don't count: they remain listed when all leases have expired.
+  active_run_listed_ = active_run_listed_ || !view.running.empty();
   if (options_.detect_stalls) UpdateStalled(view, sent_at, wait, now);
   for (const RunEnd& end : view.ended) {
     highest_end_listed_ = std::max(highest_end_listed_, end.number);
--- a/beamhill/replay/owner_fencing_replay.cc
+++ b/beamhill/replay/owner_fencing_replay.cc
@@ -21,7 +21,11 @@
 using std::chrono::seconds;
 
 constexpr Duration kFaults = seconds(4);
-constexpr Duration kRecovery = seconds(8);
+constexpr Duration kRecovery = seconds(12);
+// A runner that does not answer for this long has outlasted all its leases.
+constexpr Duration kMinSilence = milliseconds(7200);
+constexpr Duration kMaxSilence = seconds(9);
+constexpr Duration kRunnerTimeout = seconds(1);
 constexpr Duration kMessageDelay = milliseconds(1);
 constexpr Duration kTableDelay = milliseconds(4);
 constexpr Duration kTableTimeout = milliseconds(300);
@@ -104,6 +108,25 @@
         });
       });
     }
+    if (Chance(0.4)) time_.After(Random(seconds(1)), [this] { Silence(); });
+  }
+
+  // The runner answers no call for a while. Its executor restarts before it
+  // answers again.
+  void Silence() {
+    silent_ = true;
+    Note("runner is silent");
+    const Duration silence = kMinSilence + Random(kMaxSilence - kMinSilence);
+    const bool table_is_away = Chance(0.5);
+    time_.After(silence - milliseconds(100), [this, table_is_away] {
+      away_for_executor_ = table_is_away;
+      Restart(/*executor=*/true, /*runner=*/false);
+    });
+    time_.After(silence, [this] {
+      silent_ = false;
+      Note("runner answers again");
+    });
+    time_.After(silence + seconds(1), [this] { away_for_executor_ = false; });
   }
 
   void Claim() {
@@ -230,6 +253,12 @@
   TaskRunner RunnerCalls() {
     TaskRunner calls;
     calls.start = [this](RunnerStart call, auto done) {
+      if (silent_) {
+        time_.After(kRunnerTimeout, [done] {
+          done({RunnerVerdict::kNoAnswer, std::nullopt});
+        });
+        return;
+      }
       if (const auto rejection = Rejection(call.incarnation)) {
         time_.After(kMessageDelay, [done, rejection] {
           done({*rejection, std::nullopt});
@@ -239,6 +268,14 @@
       runners_.back()->Hooks().start(std::move(call), done);
     };
     calls.poll = [this](RunnerPoll call, auto done) {
+      if (silent_) {
+        time_.After(kRunnerTimeout, [done] {
+          RunnerView view;
+          view.reply.verdict = RunnerVerdict::kNoAnswer;
+          done(view);
+        });
+        return;
+      }
       if (const auto rejection = Rejection(call.incarnation)) {
         time_.After(kMessageDelay, [done, rejection] {
           RunnerView view;
@@ -368,6 +405,7 @@
   bool earlier_is_cut_off_ = false;
   bool away_for_executor_ = false;
   bool away_for_all_ = false;
+  bool silent_ = false;  // The runner answers no call.
   bool claimed_ = false;
   bool stock_taken_ = false;
   std::map<uint64_t, Owner> owners_;  // By epoch.
