Executor: a leaving runner that does not answer is not taken for gone

What callers would have seen: a task that runs twice.

Cause: 0.6 s after a runner announced its exit it is polled, and a poll without an answer counted as its end, like a refused connection. The owner got an empty inventory and started the work elsewhere, though the runner may go on until its lease expires.

Change: such a runner is polled again. It counts as gone once its address is refused, another incarnation answers, or all its leases have expired.

LeavingRunnerThatDoesNotAnswerMayStillRunItsTasks fails with the change planted out.

--- a/beamhill/executor/executor.cc
+++ b/beamhill/executor/executor.cc
@@ -279,9 +279,11 @@
 void Executor::OnLeavingRunnerPolled(RunnerVerdict verdict, TimePoint sent_at) {
   if (!leave_polled_at_ || sent_at < *leave_polled_at_) return;
   leave_polled_at_.reset();
-  if (verdict == RunnerVerdict::kUnreachable ||
-      verdict == RunnerVerdict::kOtherIncarnation ||
-      verdict == RunnerVerdict::kNoAnswer) {
+  // A runner that does not answer may still be running its tasks.
+  const bool silent = verdict == RunnerVerdict::kNoAnswer;
+  if (silent && !AllLeasesExpired(hooks_.now())) return;
+  if (silent || verdict == RunnerVerdict::kUnreachable ||
+      verdict == RunnerVerdict::kOtherIncarnation) {
     ForgetDepartedRunner();
     departure_verified_ = true;
     return;
--- a/beamhill/executor/executor_losses_test.cc
+++ b/beamhill/executor/executor_losses_test.cc
@@ -254,6 +254,28 @@
   EXPECT_TRUE(executor_->runner_is_gone());
 }
 
+// Guards against tasks that run twice: a leaving runner that did not answer one
+// poll was reported as empty while its lease was still valid.
+TEST_F(ExecutorLossesTest, LeavingRunnerThatDoesNotAnswerMayStillRunItsTasks) {
+  Register("i-1/1");
+  Attach(1);
+  StartAnswered(Run(0), RunnerVerdict::kDone);
+  sent_.clear();
+  executor_->OnRunnerLeaving("i-1/1");
+  const auto lose_polls_for = [this](Duration time) {
+    for (Duration passed{}; passed < time; passed += milliseconds(100)) {
+      AdvanceTime(milliseconds(100));
+      LosePolls();
+    }
+  };
+  lose_polls_for(seconds(5));
+  EXPECT_THAT(Sent<VmInventory>(), IsEmpty());
+  EXPECT_FALSE(executor_->runner_is_gone());
+  lose_polls_for(seconds(3));
+  EXPECT_THAT(Sent<VmInventory>(), SizeIs(1));
+  EXPECT_TRUE(executor_->runner_is_gone());
+}
+
 TEST_F(ExecutorLossesTest, LeavingRunnerIsPolledAgainForTheNextOwner) {
   Register("i-1/1");
   Attach(1);
--- a/beamhill/http/http_server.cc
+++ b/beamhill/http/http_server.cc
@@ -187,8 +187,8 @@
     return Error{
         ErrorCode::kUnavailable,
         "cannot listen on " + ip + ":" + std::to_string(port) + ": " + reason,
-                 "check that the address belongs to this VM and that no other "
-                 "process uses the port"};
+        "check that the address belongs to this VM and that no other "
+        "process uses the port"};
   }
   evhttp_set_allowed_methods(http, kAllowedMethods);
   evhttp_set_max_headers_size(http,
