Executor: the address that owners are told can differ from that of the listener

The optional setting `advertised` names the address in the VM's row, as it does for schedulers. Without it, nothing changes.

--- a/beamhill/executor/executor_process.cc
+++ b/beamhill/executor/executor_process.cc
@@ -136,8 +136,9 @@
     Log(LogLevel::kInfo, event, {{"vm", settings_.vm}, {"detail", detail}});
   };
   registration_ = std::make_unique<VmRegistration>(
-      VmRecord{settings_.vm, ToString(settings_.links)}, table_,
-      std::move(hooks));
+      VmRecord{settings_.vm,
+               ToString(settings_.advertised.value_or(settings_.links))},
+      table_, std::move(hooks));
 }
 
 void ExecutorProcess::OnRunnerRegistered(const VmStatus& status,
--- a/beamhill/executor/executor_process.h
+++ b/beamhill/executor/executor_process.h
@@ -28,6 +28,8 @@
 struct ExecutorSettings {
   std::string vm;  // Name of the VM.
   Address links;   // Address on which to listen for owners.
+  // Where owners reach this process, if not at `links`.
+  std::optional<Address> advertised;
   ExecutorOptions executor;
 };
 
