--- a/beamhill/http/http_client.cc
+++ b/beamhill/http/http_client.cc
@@ -177,10 +177,9 @@
     const int status =
         raw == nullptr ? 0 : evhttp_request_get_response_code(raw);
     if (status == 0) {
-      const bool connect_failed =
-          raw != nullptr && !pending->failed_after_connect;
-      outcome.delivery =
-          connect_failed ? HttpDelivery::kNotSent : HttpDelivery::kNoAnswer;
+      outcome.connect_failed = raw != nullptr && !pending->failed_after_connect;
+      outcome.delivery = outcome.connect_failed ? HttpDelivery::kNotSent
+                                                : HttpDelivery::kNoAnswer;
       pending->owner->Finish(pending, std::move(outcome), false);
       return;
     }
--- a/beamhill/http/http_client.h
+++ b/beamhill/http/http_client.h
@@ -67,6 +67,9 @@
   HttpDelivery delivery = HttpDelivery::kNoAnswer;
   HttpResponse response;
   bool timed_out = false;
+  // No connection could be opened, such as to a port on which nobody listens.
+  // Other calls that were not sent don't show that the server is gone.
+  bool connect_failed = false;
 };
 
 class HttpClient {
