Owner: log and count long-running tasks that wait, with the reason

What callers saw: a long-running task that did not run for 23 s with room for it. Cause of the blind spot: no line or metric told why a task waits, or which VM is reserved for it.

Change: the predicates that admit a task to a VM return the obstacle that they meet, so that decisions and logs can't disagree. Once a second the owner logs `task_waits` for each long-running task that has not run for 2 s: the reason, how many VMs could take it now, the VM that is reserved for it, since when, and that VM's obstacle. Two metrics count them. No decision changes: reservations now carry their task and their age, which nothing but the log reads.

--- a/beamhill/dispatch/dispatch_advice.cc
+++ b/beamhill/dispatch/dispatch_advice.cc
@@ -11,22 +11,9 @@
 constexpr size_t kRunnersPerRequest = 30;
 // Delay after a request that was not answered, or that allowed no runner.
 constexpr Duration kAdviceBackOff = std::chrono::milliseconds(400);
-// Minimum validity left of a ticket that is used. A start order reaches its
-// runner within a few milliseconds.
-constexpr Duration kMinTicketTime = std::chrono::milliseconds(150);
 
 }  // namespace
 
-const Dispatcher::Ticket* Dispatcher::TicketFor(
-    const Job& job, const WorkflowProgress::OpenStep& open,
-    const std::string& incarnation, TimePoint now) {
-  const auto advice = job.advice.find({open.round, open.step});
-  if (advice == job.advice.end()) return nullptr;
-  const auto it = advice->second.tickets.find(incarnation);
-  if (it == advice->second.tickets.end()) return nullptr;
-  return it->second.expires_at - now >= kMinTicketTime ? &it->second : nullptr;
-}
-
 // Returns whether the step's tasks may be placed now. If tickets are needed and
 // no runner with room has a valid one, requests advice.
 bool Dispatcher::HasAdvice(Job& job, const WorkflowProgress::OpenStep& open,
@@ -37,7 +24,8 @@
   std::vector<std::string> runners;
   for (const auto& [name, vm] : vms_) {
     if (!Fits(vm, name, job, workflow.steps[open.step], now)) continue;
-    if (TicketFor(job, open, vm.status.incarnation, now) != nullptr) {
+    if (dispatch_internal::TicketFor(job, open, vm.status.incarnation, now) !=
+        nullptr) {
       return true;
     }
     if (runners.size() < kRunnersPerRequest) {
--- a/beamhill/dispatch/dispatch_best_effort.cc
+++ b/beamhill/dispatch/dispatch_best_effort.cc
@@ -108,13 +108,11 @@
   return FreeCores(vm) * kMillicoresPerCore - ahead;
 }
 
-bool Dispatcher::NeedsGuaranteedRun(const Job& job) {
-  return job.run_guaranteed && job.held_runs == 0;
-}
-
 bool Dispatcher::HasBestEffortRoom(const Vm& vm, const Job& job,
                                    const WorkflowStep& step) const {
-  if (NeedsGuaranteedRun(job) && LeavesHeadroom(vm, step.each)) return true;
+  if (dispatch_internal::NeedsGuaranteedRun(job) &&
+      LeavesHeadroom(vm, step.each))
+    return true;
   const auto asked = static_cast<double>(step.each.cpu_millis);
   if (FreeCpuFor(vm, job.best_effort_rank) < asked) return false;
   // A task may displace those of higher rank, within a limit.
@@ -217,7 +215,7 @@
       held.best_effort_rank = job->best_effort_rank;
       vm.best_effort_sums.valid = false;
       const WorkflowStep& step = job->progress.workflow().steps[run.task.step];
-      update.runs.push_back({run, TraitsOf(*job, step)});
+      update.runs.push_back({run, dispatch_internal::TraitsOf(*job, step)});
     }
     if (vm.has_inventory && !update.runs.empty()) Send(name, std::move(update));
   }
--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -129,7 +129,8 @@
   std::optional<double> least;
   for (const auto& [name, vm] : vms_) {
     if (name == except || !Fits(vm, name, job, step, now)) continue;
-    const uint32_t held = HeldRunsOfStep(vm, job.progress.workflow().id, at);
+    const uint32_t held =
+        dispatch_internal::HeldRunsOfStep(vm, job.progress.workflow().id, at);
     if (step.max_per_vm > 0 && held >= step.max_per_vm) continue;
     const double loss = LayoutLoss(vm, step.image, step.each.cpu_millis);
     if (!least || loss < *least) least = loss;
--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -82,15 +82,18 @@
   for (uint32_t number = 0; number < workflow.steps.size(); ++number) {
     const WorkflowStep& step = workflow.steps[number];
     if (!step.long_running || step.gang) continue;
-    for (const auto& task : job.progress.TasksOf(0, number)) {
+    const auto& tasks = job.progress.TasksOf(0, number);
+    for (uint32_t i = 0; i < tasks.size(); ++i) {
+      const WorkflowProgress::Task& task = tasks[i];
+      const TaskRef ref{workflow.id, 0, number, i};
       if (task.phase != WorkflowProgress::Phase::kWaiting) continue;
       if (!task.last_run_ended_at) {
         if (now - job.added_at < kFirstRunWait) continue;
-        waits.push_back({/*first_run=*/true, job.added_at, &job, &step});
+        waits.push_back({/*first_run=*/true, job.added_at, &job, &step, ref});
         continue;
       }
       waits.push_back(
-          {/*first_run=*/false, *task.last_run_ended_at, &job, &step});
+          {/*first_run=*/false, *task.last_run_ended_at, &job, &step, ref});
       job.down_since =
           std::min(job.down_since.value_or(*task.last_run_ended_at),
                    *task.last_run_ended_at);
@@ -100,7 +103,7 @@
 
 // Tasks that have run before come first: their users notice the outage.
 void Dispatcher::ReserveForLongRunning(TimePoint now) {
-  reserved_capacity_.clear();
+  const auto before = std::exchange(reserved_capacity_, {});
   std::vector<LongRunningWait> waits;
   for (const auto& [id, job] : jobs_) CollectLongRunningWaits(*job, now, waits);
   std::sort(waits.begin(), waits.end());
@@ -109,12 +112,17 @@
   int searches = seek_room ? kMaxRoomSearches : 0;
   for (const LongRunningWait& wait : waits) {
     if (reserved_capacity_.size() >= most) break;
-    if (ReserveVmFor(wait)) continue;
+    if (ReserveVmFor(wait, now)) continue;
     if (wait.first_run || now - wait.since < kRoomMakingWait) continue;
     if (searches <= 0) continue;
     room_sought_at_ = now;
     searches = MakeRoomFor(wait, now) ? 0 : searches - 1;
   }
+  for (auto& [name, reservation] : reserved_capacity_) {
+    const auto it = before.find(name);
+    const bool kept = it != before.end() && it->second.task == reservation.task;
+    if (kept) reservation.since = it->second.since;
+  }
 }
 
 bool Dispatcher::MayBeReserved(const std::string& name, const Vm& vm,
@@ -132,7 +140,7 @@
 
 // Chooses the VM with most processor time beside its long-running tasks: this
 // choice is the most stable over time.
-bool Dispatcher::ReserveVmFor(const LongRunningWait& wait) {
+bool Dispatcher::ReserveVmFor(const LongRunningWait& wait, TimePoint now) {
   const Resources& need = wait.step->each;
   const std::string* best = nullptr;
   int64_t most = 0;
@@ -143,7 +151,7 @@
     best = &name;
     most = left;
   }
-  if (best != nullptr) reserved_capacity_[*best] = need;
+  if (best != nullptr) reserved_capacity_[*best] = {wait.task, need, now};
   return best != nullptr;
 }
 
@@ -196,7 +204,8 @@
   if (step.long_running) return true;
   const auto reservation = reserved_capacity_.find(name);
   if (reservation == reserved_capacity_.end()) return true;
-  const Resources left = vm.status.capacity - vm.used - reservation->second;
+  const Resources left =
+      vm.status.capacity - vm.used - reservation->second.amount;
   if (left.memory_mib < step.each.memory_mib) return false;
   return step.best_effort || left.cpu_millis >= step.each.cpu_millis;
 }
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -119,11 +119,6 @@
   }
 }
 
-TaskTraits Dispatcher::TraitsOf(const Job& job, const WorkflowStep& step) {
-  return {step.image, step.best_effort, step.tail_target, step.each.cpu_millis,
-          job.best_effort_rank};
-}
-
 // Sorts by lateness, the queue's priority and the rank. Long-running tasks are
 // never late.
 std::vector<Dispatcher::OpenStepRef> Dispatcher::ByUrgency(
@@ -255,47 +250,79 @@
   return ReserveGang(job, open, run, std::nullopt, now);
 }
 
-bool Dispatcher::Fits(const Vm& vm, const std::string& name, const Job& job,
-                      const WorkflowStep& step, TimePoint now) const {
-  // Cheap and selective checks come first, expensive ones last.
-  Resources need = step.each;
-  if (step.best_effort) need.cpu_millis = 0;
+Obstacle Dispatcher::AdmissionObstacle(const Vm& vm, const std::string& name,
+                                       const Job& job, const WorkflowStep& step,
+                                       TimePoint now) const {
   const VmStatus& status = vm.status;
-  if (!(status.capacity - vm.used).Holds(need)) return false;
   if (!vm.linked || !vm.has_inventory || !vm.leased || status.draining ||
-      status.incarnation.empty() ||
-      status.service != job.progress.workflow().service) {
-    return false;
+      status.incarnation.empty()) {
+    return Obstacle::kOffline;
+  }
+  if (status.service != job.progress.workflow().service) {
+    return Obstacle::kService;
+  }
+  if (IsEvacuated(vm)) return Obstacle::kEvacuated;
+  if (stalls_.Avoids(name) && !MayProbeStall(name, vm, step, now)) {
+    return Obstacle::kStalled;
   }
-  if (IsEvacuated(vm)) return false;
-  if (stalls_.Avoids(name) && !MayProbeStall(name, vm, step, now)) return false;
   if (IsOnTrial(vm, now) &&
       vm.trial->workflows.count(job.progress.workflow().id) == 0) {
-    return false;
+    return Obstacle::kTrial;
   }
-  if (now < vm.not_before || vm.lease_bound - now < kMinLeaseTime) return false;
+  if (now < vm.not_before) return Obstacle::kBackOff;
+  if (vm.lease_bound - now < kMinLeaseTime) return Obstacle::kLease;
   if (!step.required_label.empty() &&
       std::find(status.labels.begin(), status.labels.end(),
                 step.required_label) == status.labels.end()) {
-    return false;
+    return Obstacle::kLabel;
+  }
+  return Obstacle::kNone;
+}
+
+Obstacle Dispatcher::FitObstacle(const Vm& vm, const std::string& name,
+                                 const Job& job, const WorkflowStep& step,
+                                 TimePoint now) const {
+  // Cheap and selective checks come first, expensive ones last.
+  Resources need = step.each;
+  if (step.best_effort) need.cpu_millis = 0;
+  if (!(vm.status.capacity - vm.used).Holds(need)) return Obstacle::kRoom;
+  const Obstacle admission = AdmissionObstacle(vm, name, job, step, now);
+  if (admission != Obstacle::kNone) return admission;
+  if (step.best_effort && !HasBestEffortRoom(vm, job, step)) {
+    return Obstacle::kBestEffort;
   }
-  if (step.best_effort && !HasBestEffortRoom(vm, job, step)) return false;
-  return FitsBesideReservation(name, vm, step) &&
-         IsHealthyFor(name, vm, job, step, now);
+  if (!FitsBesideReservation(name, vm, step)) return Obstacle::kReserved;
+  if (!IsHealthyFor(name, vm, job, step, now)) return Obstacle::kQuarantine;
+  return Obstacle::kNone;
+}
+
+Obstacle Dispatcher::StepObstacle(const Vm& vm, const Job& job,
+                                  const WorkflowStep& step,
+                                  const WorkflowProgress::OpenStep& open,
+                                  TimePoint now) const {
+  const Workflow& workflow = job.progress.workflow();
+  if (workflow.policy.needs_advice &&
+      dispatch_internal::TicketFor(job, open, vm.status.incarnation, now) ==
+          nullptr) {
+    return Obstacle::kAdvice;
+  }
+  const bool full = step.max_per_vm > 0 &&
+                    dispatch_internal::HeldRunsOfStep(vm, workflow.id, open) >=
+                        step.max_per_vm;
+  return full ? Obstacle::kPerVmLimit : Obstacle::kNone;
+}
+
+bool Dispatcher::Fits(const Vm& vm, const std::string& name, const Job& job,
+                      const WorkflowStep& step, TimePoint now) const {
+  return FitObstacle(vm, name, job, step, now) == Obstacle::kNone;
 }
 
 bool Dispatcher::MayHost(const Vm& vm, const std::string& name, const Job& job,
                          const WorkflowStep& step,
                          const WorkflowProgress::OpenStep& open,
                          TimePoint now) const {
-  if (!Fits(vm, name, job, step, now)) return false;
-  const Workflow& workflow = job.progress.workflow();
-  if (workflow.policy.needs_advice &&
-      TicketFor(job, open, vm.status.incarnation, now) == nullptr) {
-    return false;
-  }
-  return step.max_per_vm == 0 ||
-         HeldRunsOfStep(vm, workflow.id, open) < step.max_per_vm;
+  return Fits(vm, name, job, step, now) &&
+         StepObstacle(vm, job, step, open, now) == Obstacle::kNone;
 }
 
 // Lower is better. Best-effort tasks go where most processor time is free and
@@ -347,17 +374,6 @@
   });
 }
 
-uint32_t Dispatcher::HeldRunsOfStep(const Vm& vm, const std::string& workflow,
-                                    const WorkflowProgress::OpenStep& open) {
-  const auto held =
-      std::count_if(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
-        const TaskRef& task = entry.first.task;
-        return task.workflow == workflow && task.round == open.round &&
-               task.step == open.step;
-      });
-  return static_cast<uint32_t>(held);
-}
-
 Dispatcher::Vm* Dispatcher::ChooseVm(const Job& job, const WorkflowStep& step,
                                      const WorkflowProgress::OpenStep& open,
                                      const std::string& avoid, TimePoint now,
@@ -369,7 +385,8 @@
       step.max_per_vm == 0 && step.required_label.empty() && !advised && !rack;
   // Steps with further constraints may have found no room where this one does.
   const bool had_no_room = FoundNoRoom(workflow.service, step);
-  if (simple && had_no_room && !NeedsGuaranteedRun(job)) return nullptr;
+  if (simple && had_no_room && !dispatch_internal::NeedsGuaranteedRun(job))
+    return nullptr;
   Vm* best = nullptr;
   double best_cost = 0;
   for (auto& [vm_name, vm] : vms_) {
@@ -421,12 +438,12 @@
     starts.round = ref.round;
     starts.step = ref.step;
     starts.payload = workflow.payload;
-    starts.traits = TraitsOf(job, step);
+    starts.traits = dispatch_internal::TraitsOf(job, step);
     starts.latest_start = LatestStart(vm, now);
     starts.report_begin = !job.progress.begun();
   }
-  const Ticket* ticket =
-      TicketFor(job, {ref.round, ref.step}, vm.status.incarnation, now);
+  const Ticket* ticket = dispatch_internal::TicketFor(
+      job, {ref.round, ref.step}, vm.status.incarnation, now);
   starts.runs.push_back(
       {ref.index, run, checkpoint, ticket == nullptr ? "" : ticket->text});
   run_log_.Note("run_ordered", {ref, run}, name,
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -272,7 +272,7 @@
     const Job* job = Find(run.task.workflow);
     if (job == nullptr) continue;
     const WorkflowStep& step = job->progress.workflow().steps[run.task.step];
-    const TaskTraits traits = TraitsOf(*job, step);
+    const TaskTraits traits = dispatch_internal::TraitsOf(*job, step);
     if (traits.paced()) list.runs.push_back({run, traits});
   }
   if (!list.runs.empty()) Send(name, std::move(list));
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -10,6 +10,8 @@
 // Minimum change of a weight, absolute and relative, that is logged.
 constexpr Duration kMinWeightChange = std::chrono::milliseconds(10);
 constexpr int kMinWeightChangeDivisor = 4;
+// Most tasks that wait find a VM within a second.
+constexpr Duration kLongWait = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -84,6 +86,68 @@
   return orphans;
 }
 
+WaitReason Dispatcher::WaitReasonOf(const Job& job, const TaskRef& ref,
+                                    TimePoint now) const {
+  const WorkflowProgress::Task& task = job.progress.At(ref);
+  if (!job.opened) return WaitReason::kNotStored;
+  if (!MayStart(job)) return WaitReason::kInherited;
+  if (now < task.not_before) return WaitReason::kBackOff;
+  if (!task.crashed_runs.empty()) return WaitReason::kSuspect;
+  return WaitReason::kNoVm;
+}
+
+WaitingTask Dispatcher::Describe(const Job& job, const TaskRef& ref,
+                                 TimePoint now) const {
+  const auto& last_end = job.progress.At(ref).last_run_ended_at;
+  const WorkflowStep& step = job.progress.workflow().steps[ref.step];
+  const WorkflowProgress::OpenStep open{ref.round, ref.step};
+  WaitingTask waiting;
+  waiting.task = ref;
+  waiting.first_run = !last_end;
+  waiting.waited = now - last_end.value_or(job.added_at);
+  waiting.reason = WaitReasonOf(job, ref, now);
+  for (const auto& [name, vm] : vms_) {
+    if (MayHost(vm, name, job, step, open, now)) ++waiting.vms_with_room;
+    const auto reservation = reserved_capacity_.find(name);
+    if (reservation == reserved_capacity_.end() ||
+        !(reservation->second.task == ref)) {
+      continue;
+    }
+    if (waiting.reason == WaitReason::kNoVm) {
+      waiting.reason = WaitReason::kReserved;
+    }
+    waiting.reserved_vm = name;
+    waiting.reserved_for = now - reservation->second.since;
+    waiting.obstacle = FitObstacle(vm, name, job, step, now);
+    if (waiting.obstacle != Obstacle::kNone) continue;
+    waiting.obstacle = StepObstacle(vm, job, step, open, now);
+  }
+  return waiting;
+}
+
+std::vector<WaitingTask> Dispatcher::WaitingTasks(size_t limit,
+                                                  TimePoint now) const {
+  std::vector<WaitingTask> waiting;
+  for (const auto& [id, job] : jobs_) {
+    if (job->progress.over()) continue;
+    const Workflow& workflow = job->progress.workflow();
+    for (uint32_t number = 0; number < workflow.steps.size(); ++number) {
+      const WorkflowStep& step = workflow.steps[number];
+      if (!step.long_running || step.gang) continue;
+      const auto& tasks = job->progress.TasksOf(0, number);
+      for (uint32_t i = 0; i < tasks.size(); ++i) {
+        const TimePoint since =
+            tasks[i].last_run_ended_at.value_or(job->added_at);
+        const bool waits = tasks[i].phase == WorkflowProgress::Phase::kWaiting;
+        if (!waits || now - since < kLongWait) continue;
+        if (waiting.size() >= limit) return waiting;
+        waiting.push_back(Describe(*job, {id, 0, number, i}, now));
+      }
+    }
+  }
+  return waiting;
+}
+
 std::string Dispatcher::VmThatHolds(const std::string& workflow) const {
   const auto it =
       std::find_if(vms_.begin(), vms_.end(), [&](const auto& entry) {
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -45,6 +45,7 @@
 #include "beamhill/dispatch/run_log.h"
 #include "beamhill/dispatch/run_time_estimator.h"
 #include "beamhill/dispatch/stalled_vms.h"
+#include "beamhill/dispatch/wait_reason.h"
 #include "beamhill/placement/pairwise_interference.h"
 #include "beamhill/placement/serving_layout.h"
 #include "beamhill/placement/worker_health.h"
@@ -146,6 +147,8 @@
   DispatchSummary Summary(TimePoint now) const;
   // Finished workflows of which VMs still hold runs, the oldest first.
   std::vector<OrphanedWork> Orphans(TimePoint now) const;
+  // Long-running tasks that have waited for 2 s or more, up to `limit`.
+  std::vector<WaitingTask> WaitingTasks(size_t limit, TimePoint now) const;
   // Name of a VM that holds a run of the workflow; empty if none does.
   std::string VmThatHolds(const std::string& workflow) const;
   // Text for operators with a line for each VM and each open workflow.
@@ -158,6 +161,7 @@
   using HeldRun = dispatch_internal::HeldRun;
   using Vm = dispatch_internal::Vm;
   using LongRunningWait = dispatch_internal::LongRunningWait;
+  using CapacityReservation = dispatch_internal::CapacityReservation;
   using Relocation = dispatch_internal::Relocation;
   // By VM: the runner incarnation and the number of an end.
   using EndsByVm = std::map<std::string, std::pair<std::string, uint64_t>>;
@@ -188,6 +192,11 @@
   // Whether the bound has passed and the ownership was confirmed since.
   bool IsPastAndConfirmed(TimePoint bound, TimePoint now) const;
 
+  // In dispatch_summary.cc.
+  WaitReason WaitReasonOf(const Job& job, const TaskRef& ref,
+                          TimePoint now) const;
+  WaitingTask Describe(const Job& job, const TaskRef& ref, TimePoint now) const;
+
   // In dispatch_runs.cc.
   // Hold reserves the run's resources on the VM, Release frees them.
   void Hold(Vm& vm, const RunRef& run, Job& job, const WorkflowStep& step);
@@ -248,9 +257,6 @@
   // In dispatch_advice.cc.
   bool HasAdvice(Job& job, const WorkflowProgress::OpenStep& open,
                  TimePoint now);
-  static const Ticket* TicketFor(const Job& job,
-                                 const WorkflowProgress::OpenStep& open,
-                                 const std::string& incarnation, TimePoint now);
 
   // In dispatch_interference.cc.
   // Predicted worst ratio of tail latency to target if the best-effort step ran
@@ -275,9 +281,6 @@
   // Processor time of the VM that is left to a best-effort task of this rank,
   // in millicores. Lower ranks come first and count with their paced use.
   double FreeCpuFor(const Vm& vm, double best_effort_rank) const;
-  // Whether the workflow is due its guaranteed run, which it gets even on a
-  // full VM or one where it is harmful.
-  static bool NeedsGuaranteedRun(const Job& job);
   // Whether the VM has processor time for the best-effort task and would let it
   // run at a fair pace. A guaranteed run needs neither.
   bool HasBestEffortRoom(const Vm& vm, const Job& job,
@@ -350,7 +353,7 @@
   void ReserveForLongRunning(TimePoint now);
   bool MayBeReserved(const std::string& name, const Vm& vm,
                      const LongRunningWait& wait) const;
-  bool ReserveVmFor(const LongRunningWait& wait);
+  bool ReserveVmFor(const LongRunningWait& wait, TimePoint now);
   // Moves another long-running task if that makes room for the one that waits.
   bool MakeRoomFor(const LongRunningWait& wait, TimePoint now);
   // Whether the step fits beside the VM's reservation, if there is one.
@@ -393,7 +396,6 @@
   int64_t WavesOf(const Job& job, const WorkflowStep& step) const;
   // Updates the rank by the earliest unfinished round.
   void UpdateBestEffortRank(Job& job, TimePoint now, UnixMillis unix_now);
-  static TaskTraits TraitsOf(const Job& job, const WorkflowStep& step);
   std::vector<OpenStepRef> ByUrgency(TimePoint now, UnixMillis unix_now);
   void StartStep(Job& job, const WorkflowProgress::OpenStep& open,
                  TimePoint now);
@@ -417,14 +419,22 @@
       TimePoint now);
   // Whether a step that asks for no more found no room in this tick.
   bool FoundNoRoom(const std::string& service, const WorkflowStep& step) const;
-  // Number of runs of the step on the VM.
-  static uint32_t HeldRunsOfStep(const Vm& vm, const std::string& workflow,
-                                 const WorkflowProgress::OpenStep& open);
   // The VM with the lowest cost, or null.
   Vm* ChooseVm(const Job& job, const WorkflowStep& step,
                const WorkflowProgress::OpenStep& open, const std::string& avoid,
                TimePoint now, std::string* name,
                const std::optional<std::string>& rack = std::nullopt);
+  // Why the VM admits no task of the step, however much room it has.
+  Obstacle AdmissionObstacle(const Vm& vm, const std::string& name,
+                             const Job& job, const WorkflowStep& step,
+                             TimePoint now) const;
+  // As above, or for want of room or health.
+  Obstacle FitObstacle(const Vm& vm, const std::string& name, const Job& job,
+                       const WorkflowStep& step, TimePoint now) const;
+  // By the step's own limits and tickets.
+  Obstacle StepObstacle(const Vm& vm, const Job& job, const WorkflowStep& step,
+                        const WorkflowProgress::OpenStep& open,
+                        TimePoint now) const;
   bool Fits(const Vm& vm, const std::string& name, const Job& job,
             const WorkflowStep& step, TimePoint now) const;
   // Fits, and the step's own limits and tickets allow the VM.
@@ -453,7 +463,7 @@
   Evacuations evacuations_;
   TimePoint halls_evacuated_at_{};
   // Capacity reserved for a long-running task, by VM.
-  std::map<std::string, Resources> reserved_capacity_;
+  std::map<std::string, CapacityReservation> reserved_capacity_;
   ServingLayout layout_;
   ServingLayout::Demands image_demand_;
   std::map<std::string, Duration> tail_targets_;  // By serving image.
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -6,6 +6,7 @@
 #ifndef BEAMHILL_DISPATCH_INTERNAL_DISPATCH_STATE_H_
 #define BEAMHILL_DISPATCH_INTERNAL_DISPATCH_STATE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -35,6 +36,9 @@
 // Time for a start order and its report to arrive, so that the owner and the
 // executor count the same window.
 inline constexpr Duration kTrialMargin = std::chrono::milliseconds(200);
+// Minimum validity left of a ticket that is used. A start order reaches its
+// runner within a few milliseconds.
+inline constexpr Duration kMinTicketTime = std::chrono::milliseconds(150);
 
 // The placement advisor's permission to start a step on one runner.
 struct Ticket {
@@ -83,12 +87,20 @@
   TimePoint since{};
   const Job* job = nullptr;
   const WorkflowStep* step = nullptr;
+  TaskRef task;
 
   bool operator<(const LongRunningWait& other) const {
     return std::tie(first_run, since) < std::tie(other.first_run, other.since);
   }
 };
 
+// Capacity of a VM that is reserved for a long-running task.
+struct CapacityReservation {
+  TaskRef task;
+  Resources amount;
+  TimePoint since{};
+};
+
 // A plan to move all tasks of one serving image off a VM.
 struct Relocation {
   // Gain for best-effort tasks in cores, less the minimum gain per move.
@@ -206,6 +218,40 @@
   return !step.gang && !step.long_running;
 }
 
+// Whether the workflow is due its guaranteed run, which it gets even on a full
+// VM or one where it is harmful.
+inline bool NeedsGuaranteedRun(const Job& job) {
+  return job.run_guaranteed && job.held_runs == 0;
+}
+
+inline TaskTraits TraitsOf(const Job& job, const WorkflowStep& step) {
+  return {step.image, step.best_effort, step.tail_target, step.each.cpu_millis,
+          job.best_effort_rank};
+}
+
+// The advisor's valid ticket for the step on that runner; null without one.
+inline const Ticket* TicketFor(const Job& job,
+                               const WorkflowProgress::OpenStep& open,
+                               const std::string& incarnation, TimePoint now) {
+  const auto advice = job.advice.find({open.round, open.step});
+  if (advice == job.advice.end()) return nullptr;
+  const auto it = advice->second.tickets.find(incarnation);
+  if (it == advice->second.tickets.end()) return nullptr;
+  return it->second.expires_at - now >= kMinTicketTime ? &it->second : nullptr;
+}
+
+// Number of runs of the step on the VM.
+inline uint32_t HeldRunsOfStep(const Vm& vm, const std::string& workflow,
+                               const WorkflowProgress::OpenStep& open) {
+  const auto held =
+      std::count_if(vm.held.begin(), vm.held.end(), [&](const auto& entry) {
+        const TaskRef& task = entry.first.task;
+        return task.workflow == workflow && task.round == open.round &&
+               task.step == open.step;
+      });
+  return static_cast<uint32_t>(held);
+}
+
 // Keeps other workflows off until a start at `begins` can no longer crash the
 // runner.
 inline void BeginTrial(Vm& vm, const std::string& workflow, TimePoint begins) {
--- a/beamhill/scheduler/scheduler.cc
+++ b/beamhill/scheduler/scheduler.cc
@@ -79,6 +79,20 @@
       "Workflows that wait until leases of an earlier owner are over.", [this] {
         return owner_ ? static_cast<double>(owner_->InheritedWaiting()) : 0.0;
       });
+  for (const WaitReason reason : kWaitReasons) {
+    metrics.AddGauge(
+        "beamhill_waiting_long_running_tasks",
+        "Long-running tasks that have not run for 2 s, of the first 100.",
+        [this, reason] {
+          return owner_ ? static_cast<double>(owner_->WaitingTasks(reason))
+                        : 0.0;
+        },
+        {{"reason", std::string(WaitReasonName(reason))}});
+  }
+  metrics.AddGauge(
+      "beamhill_longest_wait_seconds",
+      "The longest that such a task has not run.",
+      [this] { return owner_ ? ToMillis(owner_->LongestWait()) / 1000 : 0.0; });
   metrics.AddGauge("beamhill_owner", "1 while this process owns the work.",
                    [this] { return owns() ? 1.0 : 0.0; });
   metrics.AddGauge(
--- a/beamhill/scheduler/work_owner.h
+++ b/beamhill/scheduler/work_owner.h
@@ -93,6 +93,10 @@
   size_t StalledVmCount() const;
   // Number of workflows that wait until leases of an earlier owner are over.
   size_t InheritedWaiting() const;
+  // As of the last log lines, once a second: long-running tasks that wait for
+  // that reason for more than 2 s (of the first 100), and the longest wait.
+  size_t WaitingTasks(WaitReason reason) const;
+  Duration LongestWait() const { return longest_wait_; }
   // Null until loaded.
   const Dispatcher* dispatcher() const { return dispatcher_.get(); }
   std::string Dump() const;
@@ -123,6 +127,8 @@
   void LogOrphans();
   // Logs which VMs hold back work of earlier owners, and until when.
   void LogInheritedWaiting(const DispatchSummary& summary);
+  // Logs which long-running tasks wait, why, and for which VM.
+  void LogWaitingTasks();
   void LogInterferenceChanges();
 
   void Load();
@@ -163,6 +169,8 @@
   std::set<std::string> loading_workflows_;
   std::set<std::string> pending_cancels_;  // Of workflows not added yet.
   std::set<std::string> stale_markers_;  // To be deleted with the next commits.
+  std::map<WaitReason, size_t> waiting_by_reason_;
+  Duration longest_wait_{};
   bool scanning_vms_ = false;
   bool scanning_markers_ = false;
   bool stopped_ = false;
--- a/beamhill/scheduler/work_owner_log.cc
+++ b/beamhill/scheduler/work_owner_log.cc
@@ -14,6 +14,9 @@
 constexpr size_t kMaxOrphanLines = 10;
 // Names of VMs per line; stays below 4 KiB with the users' names.
 constexpr size_t kMaxWaitedForVms = 100;
+// Per summary: each compares all VMs.
+constexpr size_t kMaxWaitingTasks = 100;
+constexpr size_t kMaxWaitLinesPerReason = 10;
 
 }  // namespace
 
@@ -36,6 +39,7 @@
        {"stalled_vms", summary.stalled_vms}});
   if (summary.unreconciled_vms.empty()) keeper_.OnEarlierLeasesOver();
   LogInheritedWaiting(summary);
+  LogWaitingTasks();
   LogInterferenceChanges();
   LogOrphans();
 }
@@ -56,6 +60,33 @@
        {"left_ms", ToMillis(summary.inherited_wait_left)}});
 }
 
+void WorkOwner::LogWaitingTasks() {
+  waiting_by_reason_.clear();
+  longest_wait_ = Duration(0);
+  for (const WaitingTask& waiting :
+       dispatcher_->WaitingTasks(kMaxWaitingTasks, BootClock::now())) {
+    longest_wait_ = std::max(longest_wait_, waiting.waited);
+    const size_t lines = ++waiting_by_reason_[waiting.reason];
+    if (lines > kMaxWaitLinesPerReason) continue;
+    Log(LogLevel::kWarning, "task_waits",
+        {{"request", waiting.task.workflow},
+         {"epoch", options_.epoch},
+         {"task", waiting.task.ToString()},
+         {"first_run", waiting.first_run},
+         {"waited_ms", ToMillis(waiting.waited)},
+         {"reason", std::string(WaitReasonName(waiting.reason))},
+         {"vms_with_room", waiting.vms_with_room},
+         {"reserved_vm", waiting.reserved_vm},
+         {"reserved_ms", ToMillis(waiting.reserved_for)},
+         {"obstacle", std::string(ObstacleName(waiting.obstacle))}});
+  }
+}
+
+size_t WorkOwner::WaitingTasks(WaitReason reason) const {
+  const auto it = waiting_by_reason_.find(reason);
+  return it == waiting_by_reason_.end() ? 0 : it->second;
+}
+
 void WorkOwner::LogOrphans() {
   size_t lines = 0;
   for (const OrphanedWork& work : dispatcher_->Orphans(BootClock::now())) {
