Dispatcher: a failed search rules out only tasks with the same rights

What callers saw: a long-running task that had lapsed did not run for 23 s, with room for it.

Cause: a pass over the waiting tasks remembered which steps had found no room, and skipped later ones that ask for as much, without asking why there was none. A short task finds none on a VM *because* that VM is reserved for a long-running task; this then skipped the long-running task itself. Workflows with nothing running were exempt, so only those with another task at work were hit, as theirs was. A second case: a best-effort task was skipped for one of a later rank, which may displace less.

Change: FailedSearches keeps with each failed search what it depended on. It rules out another search only if every VM that admits that one would have admitted the failed one. A task that some VM may admit alone (a trial, a guaranteed run) is always searched for.

--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -41,6 +41,12 @@
   ReserveForLongRunning(now);
 }
 
+bool Dispatcher::MayStartInQuarantine(const Job& job, const WorkflowStep& step,
+                                      TimePoint now) {
+  return step.long_running && job.down_since &&
+         now - *job.down_since >= kMaxDowntime;
+}
+
 // A long-running task that has been down for too long need not wait for the
 // next probe.
 bool Dispatcher::IsHealthyFor(const std::string& name, const Vm& vm,
@@ -52,8 +58,7 @@
       vm.held.begin(), vm.held.end(),
       [&](const auto& entry) { return entry.second.since >= *quarantined; }));
   if (health_.MayPlace(name, probes, now)) return true;
-  return step.long_running && probes == 0 && job.down_since &&
-         now - *job.down_since >= kMaxDowntime;
+  return probes == 0 && MayStartInQuarantine(job, step, now);
 }
 
 void Dispatcher::PassLongRunningProbes(TimePoint now) {
@@ -177,7 +182,7 @@
       movable.push_back(run);
     }
   }
-  no_room_.clear();
+  failed_searches_.Clear();
   const auto may_move = [&](const RoomMaker& move) {
     const auto& [name, movable] = runs[move.vm];
     const TaskRef& ref = movable[move.task].task;
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -147,7 +147,7 @@
 }
 
 void Dispatcher::StartWaitingTasks(TimePoint now, UnixMillis unix_now) {
-  no_room_.clear();
+  failed_searches_.Clear();
   const uint64_t limit = counts_.starts + kMaxStartsPerTick;
   for (const OpenStepRef& ref : ByUrgency(now, unix_now)) {
     if (counts_.starts >= limit) break;
@@ -358,20 +358,36 @@
   return -used / whole;
 }
 
-bool Dispatcher::FoundNoRoom(const std::string& service,
-                             const WorkflowStep& step) const {
-  return std::any_of(no_room_.begin(), no_room_.end(), [&](const auto& entry) {
-    const WorkflowStep& earlier = entry.second;
-    // The VMs that are harmful depend on the best-effort image.
-    const bool alike = earlier.best_effort == step.best_effort &&
-                       (!step.best_effort || earlier.image == step.image);
-    // Unlike the earlier step, this one might find room on a stalled VM, as its
-    // probe.
-    const bool probes = !stalls_.empty() && dispatch_internal::MayProbe(step) &&
-                        !dispatch_internal::MayProbe(earlier);
-    return entry.first == service && alike && !probes &&
-           step.each.Holds(earlier.each);
-  });
+VmSearch Dispatcher::SearchFor(const Job& job, const WorkflowStep& step,
+                               TimePoint now) const {
+  const Workflow& workflow = job.progress.workflow();
+  VmSearch search;
+  search.service = workflow.service;
+  search.need = step.each;
+  search.best_effort = step.best_effort;
+  search.image = step.image;
+  search.best_effort_rank = job.best_effort_rank;
+  if (step.long_running) search.rights |= kUseReservedCapacity;
+  if (!stalls_.empty()) {
+    if (dispatch_internal::MayProbe(step)) {
+      search.rights |= kProbeStalledVm | kProbeVmStalledForLong;
+    }
+    if (step.long_running && !step.gang) {
+      search.rights |= kProbeVmStalledForLong;
+    }
+  }
+  if (MayStartInQuarantine(job, step, now)) search.rights |= kStartInQuarantine;
+  // Trials are opened for suspects.
+  const bool on_trial =
+      !suspects_.empty() &&
+      std::any_of(vms_.begin(), vms_.end(), [&](const auto& entry) {
+        return IsOnTrial(entry.second, now) &&
+               entry.second.trial->workflows.count(workflow.id) > 0;
+      });
+  if (on_trial || dispatch_internal::NeedsGuaranteedRun(job)) {
+    search.rights |= kOwnVm;
+  }
+  return search;
 }
 
 Dispatcher::Vm* Dispatcher::ChooseVm(const Job& job, const WorkflowStep& step,
@@ -383,10 +399,9 @@
   const bool advised = workflow.policy.needs_advice;
   const bool simple =
       step.max_per_vm == 0 && step.required_label.empty() && !advised && !rack;
-  // Steps with further constraints may have found no room where this one does.
-  const bool had_no_room = FoundNoRoom(workflow.service, step);
-  if (simple && had_no_room && !dispatch_internal::NeedsGuaranteedRun(job))
-    return nullptr;
+  // The failure of a step with further constraints rules out nothing.
+  const VmSearch search = SearchFor(job, step, now);
+  if (simple && failed_searches_.RuleOut(search)) return nullptr;
   Vm* best = nullptr;
   double best_cost = 0;
   for (auto& [vm_name, vm] : vms_) {
@@ -405,7 +420,7 @@
       *name = vm_name;
     }
   }
-  if (best == nullptr && simple) no_room_.emplace_back(workflow.service, step);
+  if (best == nullptr && simple) failed_searches_.Add(search);
   return best;
 }
 
--- a/beamhill/dispatch/dispatch_stalls.cc
+++ b/beamhill/dispatch/dispatch_stalls.cc
@@ -225,7 +225,7 @@
     }
   }
   if (stalled.empty()) return;
-  no_room_.clear();
+  failed_searches_.Clear();
   std::vector<Reservation> reserved;
   ReserveForAway(now, reserved);
   for (const auto& [name, run] : stalled) {
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -46,6 +46,7 @@
 #include "beamhill/dispatch/run_time_estimator.h"
 #include "beamhill/dispatch/stalled_vms.h"
 #include "beamhill/dispatch/wait_reason.h"
+#include "beamhill/placement/failed_searches.h"
 #include "beamhill/placement/pairwise_interference.h"
 #include "beamhill/placement/serving_layout.h"
 #include "beamhill/placement/worker_health.h"
@@ -359,6 +360,10 @@
   // Whether the step fits beside the VM's reservation, if there is one.
   bool FitsBesideReservation(const std::string& name, const Vm& vm,
                              const WorkflowStep& step) const;
+  // Whether a task of the step has been down so long that it may go to a VM in
+  // quarantine.
+  static bool MayStartInQuarantine(const Job& job, const WorkflowStep& step,
+                                   TimePoint now);
   // Whether the VM's health allows the task.
   bool IsHealthyFor(const std::string& name, const Vm& vm, const Job& job,
                     const WorkflowStep& step, TimePoint now) const;
@@ -417,8 +422,8 @@
   std::vector<Reservation> ReserveGangTogether(
       Job& job, const WorkflowProgress::OpenStep& open, uint64_t run,
       TimePoint now);
-  // Whether a step that asks for no more found no room in this tick.
-  bool FoundNoRoom(const std::string& service, const WorkflowStep& step) const;
+  VmSearch SearchFor(const Job& job, const WorkflowStep& step,
+                     TimePoint now) const;
   // The VM with the lowest cost, or null.
   Vm* ChooseVm(const Job& job, const WorkflowStep& step,
                const WorkflowProgress::OpenStep& open, const std::string& avoid,
@@ -485,8 +490,7 @@
   uint64_t interference_version_ = 1;
   // As last logged, by serving and best-effort image.
   std::map<std::pair<std::string, std::string>, Duration> logged_weights_;
-  // Steps that found no room in this tick, each with its service.
-  std::vector<std::pair<std::string, WorkflowStep>> no_room_;
+  FailedSearches failed_searches_;  // In this tick.
 
   std::set<std::string> dirty_;
   bool commit_in_flight_ = false;
