Dispatcher: a gang that does not fit hides no room from other tasks

What callers saw: tasks that waited while there was room for them, for as long as a gang ahead of them in the order did not fit.

Cause: the search for a gang's last member fails while the other members hold room. It was remembered after that room had been given back, and skipped tasks that ask for as much.

Evidence: GangThatDoesNotFitHidesNoRoom failed before (not started within 6 s with half a VM free), and passes.

Change: such failures are forgotten with the room.

--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -224,10 +224,13 @@
   const Workflow& workflow = job.progress.workflow();
   const WorkflowStep& step = workflow.steps[open.step];
   std::vector<Reservation> reserved;
+  const size_t failed_before = failed_searches_.size();
   for (uint32_t i = 0; i < step.tasks; ++i) {
     std::string name;
     Vm* vm = ChooseVm(job, step, open, "", now, &name, rack);
     if (vm == nullptr) {
+      // The room of the other members is free again.
+      if (!reserved.empty()) failed_searches_.Truncate(failed_before);
       for (const auto& [holder, ref] : reserved) Release(vms_[holder], ref);
       return {};
     }
