Dispatcher: a VM is reserved only for a task that it would take

What callers saw: long-running tasks that waited behind short ones for as long as these kept coming, though another VM could have taken them.

Cause: ReserveVmFor chose the VM with most processor time beside its long-running tasks. What decides about the start also asks for memory, accelerators, the step's limit per VM, a lease, back-off and trials. The choice is stable, so the task waited there, and no room was made elsewhere since a VM was reserved.

Evidence: VmAtTheStepsLimitIsNotReserved, VmWithoutMemoryIsNotReserved and VmThatRefusesTheTaskIsNotReservedForEver: not started within 6 s before, and started now.

Change: AdmissionObstacle and StepObstacle decide about both; the room is compared in all dimensions, and what is being stopped does not count, so that a room that was made by a move is reserved. Room is sought on the same VMs. Best-effort tasks reserve no processor time, since they need none.

--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -130,31 +130,50 @@
   }
 }
 
+// The same predicates decide about the start, so that what is reserved can be
+// used once short tasks have left. VMs in quarantine and stalled ones are left
+// to their probes. The advisor may be asked only once there is room.
 bool Dispatcher::MayBeReserved(const std::string& name, const Vm& vm,
-                               const LongRunningWait& wait) const {
-  const VmStatus& status = vm.status;
-  const std::string& label = wait.step->required_label;
-  return vm.linked && vm.has_inventory && !status.draining &&
-         !status.incarnation.empty() && !IsEvacuated(vm) &&
-         status.service == wait.job->progress.workflow().service &&
-         !health_.IsQuarantined(name) && reserved_capacity_.count(name) == 0 &&
-         !stalls_.Avoids(name) &&
-         (label.empty() || std::find(status.labels.begin(), status.labels.end(),
-                                     label) != status.labels.end());
+                               const LongRunningWait& wait,
+                               TimePoint now) const {
+  if (reserved_capacity_.count(name) > 0 || health_.IsQuarantined(name) ||
+      stalls_.Avoids(name)) {
+    return false;
+  }
+  const Job& job = *wait.job;
+  if (AdmissionObstacle(vm, name, job, *wait.step, now) != Obstacle::kNone) {
+    return false;
+  }
+  const WorkflowProgress::OpenStep open{wait.task.round, wait.task.step};
+  return StepObstacle(vm, job, *wait.step, open, now) != Obstacle::kPerVmLimit;
+}
+
+// What a VM has beside its long-running tasks. Those that are being stopped
+// don't count.
+Resources Dispatcher::RoomBesideLongRunning(const Vm& vm) {
+  Resources room = vm.status.capacity - vm.long_running;
+  for (const RunRef& run : vm.stops.Runs()) {
+    const auto it = vm.held.find(run);
+    if (it != vm.held.end() && it->second.long_running) {
+      room += it->second.amount;
+    }
+  }
+  return room;
 }
 
 // Chooses the VM with most processor time beside its long-running tasks: this
 // choice is the most stable over time.
 bool Dispatcher::ReserveVmFor(const LongRunningWait& wait, TimePoint now) {
-  const Resources& need = wait.step->each;
+  const Resources need = dispatch_internal::RoomNeededBy(*wait.step);
   const std::string* best = nullptr;
   int64_t most = 0;
   for (const auto& [name, vm] : vms_) {
-    const int64_t left = vm.status.capacity.cpu_millis - vm.long_running_cpu;
-    if (left < need.cpu_millis || (best != nullptr && left <= most)) continue;
-    if (!MayBeReserved(name, vm, wait)) continue;
+    const Resources room = RoomBesideLongRunning(vm);
+    if (!room.Holds(need)) continue;
+    if (best != nullptr && room.cpu_millis <= most) continue;
+    if (!MayBeReserved(name, vm, wait, now)) continue;
     best = &name;
-    most = left;
+    most = room.cpu_millis;
   }
   if (best != nullptr) reserved_capacity_[*best] = {wait.task, need, now};
   return best != nullptr;
@@ -170,14 +189,12 @@
     return !workflow.steps[run.task.step].gang && !workflow.policy.needs_advice;
   };
   for (const auto& [name, vm] : vms_) {
-    if (!MayBeReserved(name, vm, wait)) continue;
+    if (!MayBeReserved(name, vm, wait, now)) continue;
     RoomOnVm& room = rooms.emplace_back();
-    room.room = vm.status.capacity;
+    room.room = RoomBesideLongRunning(vm);
     auto& movable = runs.emplace_back(name, std::vector<RunRef>()).second;
     for (const auto& [run, held] : vm.held) {
-      if (!held.long_running) continue;
-      room.room = room.room - held.amount;
-      if (!is_movable(vm, run)) continue;
+      if (!held.long_running || !is_movable(vm, run)) continue;
       room.tasks.push_back(held.amount);
       movable.push_back(run);
     }
@@ -195,7 +212,8 @@
         ChooseVm(job, step, {ref.round, ref.step}, name, now, &target);
     return vm != nullptr && target != name;
   };
-  const auto move = ChooseRoomMaker(rooms, wait.step->each, may_move);
+  const auto move = ChooseRoomMaker(
+      rooms, dispatch_internal::RoomNeededBy(*wait.step), may_move);
   if (!move) return false;
   const auto& [name, movable] = runs[move->vm];
   const RunRef& run = movable[move->task];
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -286,8 +286,7 @@
                                  const Job& job, const WorkflowStep& step,
                                  TimePoint now) const {
   // Cheap and selective checks come first, expensive ones last.
-  Resources need = step.each;
-  if (step.best_effort) need.cpu_millis = 0;
+  const Resources need = dispatch_internal::RoomNeededBy(step);
   if (!(vm.status.capacity - vm.used).Holds(need)) return Obstacle::kRoom;
   const Obstacle admission = AdmissionObstacle(vm, name, job, step, now);
   if (admission != Obstacle::kNone) return admission;
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -92,7 +92,7 @@
     ++image.runs;
     image.tail_target = step.tail_target;
   }
-  if (held.long_running) vm.long_running_cpu += held.amount.cpu_millis;
+  if (held.long_running) vm.long_running += held.amount;
   vm.best_effort_cpu += held.best_effort_cpu;
   vm.used += held.amount;
   vm.held[run] = held;
@@ -114,7 +114,7 @@
     vm.best_effort[held.image] -= held.best_effort_cpu;
     if (vm.best_effort[held.image] <= 0) vm.best_effort.erase(held.image);
   }
-  if (held.long_running) vm.long_running_cpu -= held.amount.cpu_millis;
+  if (held.long_running) vm.long_running -= held.amount;
   vm.best_effort_cpu -= held.best_effort_cpu;
   vm.used -= held.amount;
   vm.held.erase(it);
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -352,8 +352,10 @@
   void CollectLongRunningWaits(Job& job, TimePoint now,
                                std::vector<LongRunningWait>& waits);
   void ReserveForLongRunning(TimePoint now);
+  // Whether the VM would take the task if it had room.
   bool MayBeReserved(const std::string& name, const Vm& vm,
-                     const LongRunningWait& wait) const;
+                     const LongRunningWait& wait, TimePoint now) const;
+  static Resources RoomBesideLongRunning(const Vm& vm);
   bool ReserveVmFor(const LongRunningWait& wait, TimePoint now);
   // Moves another long-running task if that makes room for the one that waits.
   bool MakeRoomFor(const LongRunningWait& wait, TimePoint now);
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -187,9 +187,8 @@
   PendingStops stops;
   Resources used;  // Requested, without best-effort processor time.
   int64_t best_effort_cpu = 0;  // Requested, in millicores.
-  // Shares of `used` of serving and of long-running tasks, in millicores.
-  int64_t serving_cpu = 0;
-  int64_t long_running_cpu = 0;
+  int64_t serving_cpu = 0;      // The part of `used` of serving tasks.
+  Resources long_running;       // The part of long-running tasks.
   std::map<std::string, ServingImage> serving;
   // Requested millicores, by image.
   std::map<std::string, int64_t> best_effort;
@@ -218,6 +217,14 @@
   return !step.gang && !step.long_running;
 }
 
+// What a task of the step takes from others. Best-effort tasks share the
+// processor time that others leave.
+inline Resources RoomNeededBy(const WorkflowStep& step) {
+  Resources need = step.each;
+  if (step.best_effort) need.cpu_millis = 0;
+  return need;
+}
+
 // Whether the workflow is due its guaranteed run, which it gets even on a full
 // VM or one where it is harmful.
 inline bool NeedsGuaranteedRun(const Job& job) {
