Dispatcher: reserved capacity is kept from other long-running tasks, too

What callers saw: a long-running task that had run before waited while new ones, which need less, took each core that became free on the VM reserved for it.

Cause: a reservation held against short tasks only; it carried no owner.

Evidence: NewLongRunningTasksLeaveReservedRoom: not started within 6 s before, at once now.

Change: any other step must fit beside a reservation, in all dimensions. So a step that has one is always searched for, and other long-running steps have no right that short ones lack.

--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -32,6 +32,12 @@
 // Each search compares all VMs for each task that might move.
 constexpr int kMaxRoomSearches = 4;
 
+bool IsReservedFor(const dispatch_internal::CapacityReservation& reservation,
+                   const Workflow& workflow, const WorkflowStep& step) {
+  return reservation.task.workflow == workflow.id &&
+         &workflow.steps[reservation.task.step] == &step;
+}
+
 }  // namespace
 
 void Dispatcher::RefreshLongRunning(TimePoint now) {
@@ -222,15 +228,33 @@
   return true;
 }
 
+bool Dispatcher::HasReservation(const Job& job,
+                                const WorkflowStep& step) const {
+  const Workflow& workflow = job.progress.workflow();
+  return std::any_of(reserved_capacity_.begin(), reserved_capacity_.end(),
+                     [&](const auto& entry) {
+                       return IsReservedFor(entry.second, workflow, step);
+                     });
+}
+
 bool Dispatcher::FitsBesideReservation(const std::string& name, const Vm& vm,
+                                       const Job& job,
                                        const WorkflowStep& step) const {
-  if (step.long_running) return true;
   const auto reservation = reserved_capacity_.find(name);
-  if (reservation == reserved_capacity_.end()) return true;
+  if (reservation == reserved_capacity_.end() ||
+      IsReservedFor(reservation->second, job.progress.workflow(), step)) {
+    return true;
+  }
   const Resources left =
       vm.status.capacity - vm.used - reservation->second.amount;
-  if (left.memory_mib < step.each.memory_mib) return false;
-  return step.best_effort || left.cpu_millis >= step.each.cpu_millis;
+  const Resources need = dispatch_internal::RoomNeededBy(step);
+  // A task that needs none of a resource takes nothing from the reservation.
+  const auto fits = [](int64_t asked, int64_t free) {
+    return asked == 0 || asked <= free;
+  };
+  return fits(need.cpu_millis, left.cpu_millis) &&
+         fits(need.memory_mib, left.memory_mib) &&
+         fits(need.accelerators, left.accelerators);
 }
 
 }  // namespace beamhill
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -293,7 +293,7 @@
   if (step.best_effort && !HasBestEffortRoom(vm, job, step)) {
     return Obstacle::kBestEffort;
   }
-  if (!FitsBesideReservation(name, vm, step)) return Obstacle::kReserved;
+  if (!FitsBesideReservation(name, vm, job, step)) return Obstacle::kReserved;
   if (!IsHealthyFor(name, vm, job, step, now)) return Obstacle::kQuarantine;
   return Obstacle::kNone;
 }
@@ -369,7 +369,6 @@
   search.best_effort = step.best_effort;
   search.image = step.image;
   search.best_effort_rank = job.best_effort_rank;
-  if (step.long_running) search.rights |= kUseReservedCapacity;
   if (!stalls_.empty()) {
     if (dispatch_internal::MayProbe(step)) {
       search.rights |= kProbeStalledVm | kProbeVmStalledForLong;
@@ -386,7 +385,8 @@
         return IsOnTrial(entry.second, now) &&
                entry.second.trial->workflows.count(workflow.id) > 0;
       });
-  if (on_trial || dispatch_internal::NeedsGuaranteedRun(job)) {
+  if (on_trial || (step.long_running && HasReservation(job, step)) ||
+      dispatch_internal::NeedsGuaranteedRun(job)) {
     search.rights |= kOwnVm;
   }
   return search;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -359,9 +359,11 @@
   bool ReserveVmFor(const LongRunningWait& wait, TimePoint now);
   // Moves another long-running task if that makes room for the one that waits.
   bool MakeRoomFor(const LongRunningWait& wait, TimePoint now);
-  // Whether the step fits beside the VM's reservation, if there is one.
+  bool HasReservation(const Job& job, const WorkflowStep& step) const;
+  // Whether the step fits beside the VM's reservation for another step, if
+  // there is one.
   bool FitsBesideReservation(const std::string& name, const Vm& vm,
-                             const WorkflowStep& step) const;
+                             const Job& job, const WorkflowStep& step) const;
   // Whether a task of the step has been down so long that it may go to a VM in
   // quarantine.
   static bool MayStartInQuarantine(const Job& job, const WorkflowStep& step,
--- a/beamhill/placement/failed_searches.h
+++ b/beamhill/placement/failed_searches.h
@@ -23,12 +23,12 @@
 
 // What makes VMs admit some tasks and not others. Flags.
 enum SearchRight : uint32_t {
-  kUseReservedCapacity = 1U << 0,
-  kProbeStalledVm = 1U << 1,
-  kProbeVmStalledForLong = 1U << 2,
-  kStartInQuarantine = 1U << 3,
-  // Some VM may admit this task alone, by a trial or a guaranteed run.
-  kOwnVm = 1U << 4,
+  kProbeStalledVm = 1U << 0,
+  kProbeVmStalledForLong = 1U << 1,
+  kStartInQuarantine = 1U << 2,
+  // Some VM may admit this task alone, by a reservation, a trial or a
+  // guaranteed run.
+  kOwnVm = 1U << 3,
 };
 
 struct VmSearch {
