Dispatcher: short tasks and unused room end a reservation in time

What callers saw: a long-running task that waited for as long as the short tasks on the VM reserved for it ran, or as that VM did not take it for any reason that the owner does not know. No reservation had an end.

Change: a reservation belongs to a task and keeps its VM. 3 s after the last run of its task short tasks on the VM are stopped, as few as make the room, the last ones to start first, no gang members; they start again elsewhere. A VM that has had the room for 1.5 s without a start is passed over for another one. Tasks that have never run stop nothing.

--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -1,6 +1,7 @@
 // Dispatcher: keeps long-running tasks running. Reserves capacity for those
 // that wait, and lets them probe VMs in quarantine.
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "beamhill/dispatch/dispatcher.h"
@@ -23,6 +24,12 @@
 // than fit, and short tasks must still find room.
 constexpr size_t kReservedVmsDivisor = 8;
 
+// Downtime after which short tasks on the reserved VM are stopped for the task.
+// Users count it as lost after 6 s, and a stop takes up to 1 s.
+constexpr Duration kMaxRoomWait = std::chrono::milliseconds(3000);
+// Time after which another VM is reserved if the first one has had the room.
+constexpr Duration kMaxUnusedRoom = std::chrono::milliseconds(1500);
+
 // A task that has run before and for which no VM can be reserved waits this
 // long until another one is moved for it.
 constexpr Duration kRoomMakingWait = std::chrono::milliseconds(1000);
@@ -114,7 +121,10 @@
 
 // Tasks that have run before come first: their users notice the outage.
 void Dispatcher::ReserveForLongRunning(TimePoint now) {
-  const auto before = std::exchange(reserved_capacity_, {});
+  std::map<TaskRef, std::pair<std::string, CapacityReservation>> before;
+  for (auto& [name, reservation] : std::exchange(reserved_capacity_, {})) {
+    before[reservation.task] = {name, reservation};
+  }
   std::vector<LongRunningWait> waits;
   for (const auto& [id, job] : jobs_) CollectLongRunningWaits(*job, now, waits);
   std::sort(waits.begin(), waits.end());
@@ -123,16 +133,69 @@
   int searches = seek_room ? kMaxRoomSearches : 0;
   for (const LongRunningWait& wait : waits) {
     if (reserved_capacity_.size() >= most) break;
-    if (ReserveVmFor(wait, now)) continue;
+    const auto earlier = before.find(wait.task);
+    std::string passed_over;
+    if (earlier != before.end()) {
+      const auto& [name, reservation] = earlier->second;
+      if (KeepReservation(name, reservation, wait, now)) continue;
+      passed_over = name;
+    }
+    if (ReserveVmFor(wait, passed_over, now)) continue;
     if (wait.first_run || now - wait.since < kRoomMakingWait) continue;
     if (searches <= 0) continue;
     room_sought_at_ = now;
     searches = MakeRoomFor(wait, now) ? 0 : searches - 1;
   }
-  for (auto& [name, reservation] : reserved_capacity_) {
-    const auto it = before.find(name);
-    const bool kept = it != before.end() && it->second.task == reservation.task;
-    if (kept) reservation.since = it->second.since;
+}
+
+// A task waits neither for short tasks that run on and on, nor for a VM that
+// has its room and does not get it started for reasons that are not known here.
+bool Dispatcher::KeepReservation(const std::string& name,
+                                 CapacityReservation reservation,
+                                 const LongRunningWait& wait, TimePoint now) {
+  Vm& vm = vms_[name];
+  if (!RoomBesideLongRunning(vm).Holds(reservation.amount) ||
+      !MayBeReserved(name, vm, wait, now)) {
+    return false;
+  }
+  if ((vm.status.capacity - vm.used).Holds(reservation.amount)) {
+    if (!reservation.room_since) reservation.room_since = now;
+    if (now - *reservation.room_since >= kMaxUnusedRoom) return false;
+  } else {
+    reservation.room_since.reset();
+    const bool overdue = now - wait.since >= kMaxRoomWait;
+    if (!wait.first_run && overdue) StopShortTasks(name, vm, wait, now);
+  }
+  reserved_capacity_[name] = reservation;
+  return true;
+}
+
+// The last ones to start lose least. The members of a gang would all be lost.
+void Dispatcher::StopShortTasks(const std::string& name, Vm& vm,
+                                const LongRunningWait& wait, TimePoint now) {
+  Resources free = vm.status.capacity - vm.used;
+  std::vector<std::pair<TimePoint, RunRef>> runs;
+  for (const auto& [run, held] : vm.held) {
+    if (vm.stops.Has(run)) {
+      free += held.amount;
+      continue;
+    }
+    const Job* job = Find(run.task.workflow);
+    if (job == nullptr || !MayStart(*job) || held.long_running) continue;
+    if (job->progress.workflow().steps[run.task.step].gang) continue;
+    runs.emplace_back(held.since, run);
+  }
+  std::sort(runs.begin(), runs.end(), std::greater<>());
+  std::vector<Resources> amounts;
+  amounts.reserve(runs.size());
+  for (const auto& entry : runs) {
+    amounts.push_back(vm.held.at(entry.second).amount);
+  }
+  for (const size_t chosen : ChooseTasksToStop(
+           free, amounts, dispatch_internal::RoomNeededBy(*wait.step))) {
+    const RunRef& run = runs[chosen].second;
+    MigrateRun(name, vm, *Find(run.task.workflow), run,
+               "makes room for a long-running task", now);
   }
 }
 
@@ -169,7 +232,8 @@
 
 // Chooses the VM with most processor time beside its long-running tasks: this
 // choice is the most stable over time.
-bool Dispatcher::ReserveVmFor(const LongRunningWait& wait, TimePoint now) {
+bool Dispatcher::ReserveVmFor(const LongRunningWait& wait,
+                              const std::string& passed_over, TimePoint now) {
   const Resources need = dispatch_internal::RoomNeededBy(*wait.step);
   const std::string* best = nullptr;
   int64_t most = 0;
@@ -177,11 +241,11 @@
     const Resources room = RoomBesideLongRunning(vm);
     if (!room.Holds(need)) continue;
     if (best != nullptr && room.cpu_millis <= most) continue;
-    if (!MayBeReserved(name, vm, wait, now)) continue;
+    if (name == passed_over || !MayBeReserved(name, vm, wait, now)) continue;
     best = &name;
     most = room.cpu_millis;
   }
-  if (best != nullptr) reserved_capacity_[*best] = {wait.task, need, now};
+  if (best != nullptr) reserved_capacity_[*best] = {wait.task, need, now, {}};
   return best != nullptr;
 }
 
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -356,7 +356,15 @@
   bool MayBeReserved(const std::string& name, const Vm& vm,
                      const LongRunningWait& wait, TimePoint now) const;
   static Resources RoomBesideLongRunning(const Vm& vm);
-  bool ReserveVmFor(const LongRunningWait& wait, TimePoint now);
+  // Reserves a VM other than `passed_over`; returns whether there is one.
+  bool ReserveVmFor(const LongRunningWait& wait, const std::string& passed_over,
+                    TimePoint now);
+  // Renews the task's reservation unless another VM is to be reserved.
+  bool KeepReservation(const std::string& name, CapacityReservation reservation,
+                       const LongRunningWait& wait, TimePoint now);
+  // Stops what is needed of the short tasks on the reserved VM.
+  void StopShortTasks(const std::string& name, Vm& vm,
+                      const LongRunningWait& wait, TimePoint now);
   // Moves another long-running task if that makes room for the one that waits.
   bool MakeRoomFor(const LongRunningWait& wait, TimePoint now);
   bool HasReservation(const Job& job, const WorkflowStep& step) const;
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -99,6 +99,7 @@
   TaskRef task;
   Resources amount;
   TimePoint since{};
+  std::optional<TimePoint> room_since;  // Since when the VM has had the room.
 };
 
 // A plan to move all tasks of one serving image off a VM.
--- a/beamhill/placement/room_making.cc
+++ b/beamhill/placement/room_making.cc
@@ -27,4 +27,25 @@
   return *chosen;
 }
 
+std::vector<size_t> ChooseTasksToStop(const Resources& free,
+                                      const std::vector<Resources>& tasks,
+                                      const Resources& need) {
+  Resources room = free;
+  std::vector<size_t> chosen;
+  for (size_t i = 0; i < tasks.size() && !room.Holds(need); ++i) {
+    room += tasks[i];
+    chosen.push_back(i);
+  }
+  if (!room.Holds(need)) return {};
+  // The later ones may have made some of the earlier ones unnecessary.
+  const auto is_unnecessary = [&](size_t i) {
+    if (!(room - tasks[i]).Holds(need)) return false;
+    room -= tasks[i];
+    return true;
+  };
+  chosen.erase(std::remove_if(chosen.begin(), chosen.end(), is_unnecessary),
+               chosen.end());
+  return chosen;
+}
+
 }  // namespace beamhill
--- a/beamhill/placement/room_making.h
+++ b/beamhill/placement/room_making.h
@@ -1,5 +1,5 @@
-// Chooses which long-running task to move so that one which fits on no VM finds
-// room: there may be enough in all, but not enough on any single VM.
+// Chooses which tasks to move so that a long-running one which fits on no VM
+// finds room: there may be enough in all, but not enough on any single VM.
 //
 // Reads no clock and does no I/O.
 //
@@ -40,6 +40,13 @@
     const std::vector<RoomOnVm>& vms, const Resources& need,
     const std::function<bool(const RoomMaker& move)>& may_move);
 
+// Returns which of the tasks, the cheapest to stop first, have to be stopped so
+// that `need` fits beside the others, by their index; empty if all of them are
+// not enough. `free` is what is unused, or about to be.
+std::vector<size_t> ChooseTasksToStop(const Resources& free,
+                                      const std::vector<Resources>& tasks,
+                                      const Resources& need);
+
 }  // namespace beamhill
 
 #endif  // BEAMHILL_PLACEMENT_ROOM_MAKING_H_
--- a/beamhill/placement/room_making_test.cc
+++ b/beamhill/placement/room_making_test.cc
@@ -39,5 +39,16 @@
   EXPECT_FALSE(ChooseRoomMaker(small_memory, Cpu(4000), kAny));
 }
 
+TEST(RoomMakingTest, OnlyTasksThatMakeRoomAreStopped) {
+  const Resources free{500, 1000, 0};
+  const std::vector<Resources> tasks = {
+      {200, 100, 0}, {1000, 100, 0}, {2000, 100, 0}};
+  EXPECT_TRUE(ChooseTasksToStop(free, tasks, Cpu(500)).empty());
+  EXPECT_EQ(ChooseTasksToStop(free, tasks, Cpu(1500)), std::vector<size_t>{1});
+  EXPECT_EQ(ChooseTasksToStop(free, tasks, Cpu(1700)),
+            (std::vector<size_t>{0, 1}));
+  EXPECT_TRUE(ChooseTasksToStop(free, tasks, Cpu(5000)).empty());
+}
+
 }  // namespace
 }  // namespace beamhill
