Dispatcher: reservations are a class of their own

Change: CapacityReservations holds them and decides what fits beside one, with a test. What needs no Dispatcher became a function of its state. Tasks of a step may use each other's reservations, since FitObstacle lets them start there; the one that is left over goes to the next task of the step that waits. If the VM that is passed over is the only one, it is reserved again.

--- /dev/null
+++ b/beamhill/dispatch/capacity_reservations_test.cc
@@ -0,0 +1,28 @@
+#include "beamhill/dispatch/capacity_reservations.h"
+
+#include <gtest/gtest.h>
+
+namespace beamhill {
+namespace {
+
+TEST(CapacityReservationsTest, OtherStepsFitBesideTheReservation) {
+  CapacityReservations reservations;
+  const Resources free{3000, 1000, 0};
+  EXPECT_TRUE(reservations.Admit("vm-1", free, "b", 0, {3000, 1000, 0}));
+  reservations.Set("vm-1", {{"a", 0, 1, 0}, {2000, 500, 1}, {}, {}});
+  EXPECT_TRUE(reservations.Admit("vm-1", free, "a", 1, {3000, 1000, 0}));
+  EXPECT_FALSE(reservations.Admit("vm-1", free, "a", 0, {1001, 100, 0}));
+  EXPECT_FALSE(reservations.Admit("vm-1", free, "b", 1, {1000, 501, 0}));
+  EXPECT_FALSE(reservations.Admit("vm-1", free, "b", 1, {1000, 500, 1}));
+  EXPECT_TRUE(reservations.Admit("vm-1", free, "b", 1, {1000, 500, 0}));
+  EXPECT_TRUE(reservations.Admit("vm-2", free, "b", 1, {3000, 1000, 0}));
+}
+
+TEST(CapacityReservationsTest, TaskThatNeedsNoProcessorTimeTakesNone) {
+  CapacityReservations reservations;
+  reservations.Set("vm-1", {{"a", 0, 0, 0}, {2000, 100, 0}, {}, {}});
+  EXPECT_TRUE(reservations.Admit("vm-1", {0, 500, 0}, "b", 0, {0, 400, 0}));
+}
+
+}  // namespace
+}  // namespace beamhill
--- a/beamhill/dispatch/dispatch_advice.cc
+++ b/beamhill/dispatch/dispatch_advice.cc
@@ -20,10 +20,12 @@
                            TimePoint now) {
   const Workflow& workflow = job.progress.workflow();
   if (!workflow.policy.needs_advice) return true;
-  StepAdvice& advice = job.advice[{open.round, open.step}];
+  dispatch_internal::StepAdvice& advice = job.advice[{open.round, open.step}];
   std::vector<std::string> runners;
   for (const auto& [name, vm] : vms_) {
-    if (!Fits(vm, name, job, workflow.steps[open.step], now)) continue;
+    if (FitObstacle(vm, name, job, workflow.steps[open.step], now) !=
+        Obstacle::kNone)
+      continue;
     if (dispatch_internal::TicketFor(job, open, vm.status.incarnation, now) !=
         nullptr) {
       return true;
@@ -48,7 +50,7 @@
                           const std::optional<Advice>& advice, TimePoint now) {
   Job* job = Find(step.workflow);
   if (job == nullptr) return;
-  StepAdvice& state = job->advice[{step.round, step.step}];
+  dispatch_internal::StepAdvice& state = job->advice[{step.round, step.step}];
   state.request_pending = false;
   if (!advice || advice->tickets.empty()) state.retry_at = now + kAdviceBackOff;
   LogDecision(step.workflow, "advice",
--- a/beamhill/dispatch/dispatch_best_effort.cc
+++ b/beamhill/dispatch/dispatch_best_effort.cc
@@ -129,7 +129,7 @@
   return std::any_of(vms_.begin(), vms_.end(), [&](const auto& entry) {
     const auto& [name, vm] = entry;
     return name != except && !stalls_.Avoids(name) &&
-           Fits(vm, name, job, step, now) &&
+           FitObstacle(vm, name, job, step, now) == Obstacle::kNone &&
            FreeCpuFor(vm, kLastRank) >=
                static_cast<double>(step.each.cpu_millis) &&
            WorstTailRatio(vm, step) < dispatch_internal::kHarmfulTailRatio;
--- a/beamhill/dispatch/dispatch_halls.cc
+++ b/beamhill/dispatch/dispatch_halls.cc
@@ -29,12 +29,13 @@
 
 void Dispatcher::EvacuateHalls(TimePoint now) {
   // While long-running tasks wait for room, a moved one might find none.
-  if (evacuations_.halls.empty() || !reserved_capacity_.empty()) return;
+  if (evacuations_.halls.empty() || !reservations_.empty()) return;
   if (now - halls_evacuated_at_ < kHallCheckInterval) return;
   halls_evacuated_at_ = now;
   for (auto& [name, vm] : vms_) {
     if (!vm.has_inventory || !IsEvacuated(vm)) continue;
-    for (const auto& [run, held] : std::map<RunRef, HeldRun>(vm.held)) {
+    for (const auto& [run, held] :
+         std::map<RunRef, dispatch_internal::HeldRun>(vm.held)) {
       Job* job = Find(run.task.workflow);
       if (job == nullptr || !MayStart(*job) || vm.stops.Has(run)) continue;
       const Workflow& workflow = job->progress.workflow();
--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -128,7 +128,9 @@
   const WorkflowStep& step = job.progress.workflow().steps[at.step];
   std::optional<double> least;
   for (const auto& [name, vm] : vms_) {
-    if (name == except || !Fits(vm, name, job, step, now)) continue;
+    if (name == except ||
+        FitObstacle(vm, name, job, step, now) != Obstacle::kNone)
+      continue;
     const uint32_t held =
         dispatch_internal::HeldRunsOfStep(vm, job.progress.workflow().id, at);
     if (step.max_per_vm > 0 && held >= step.max_per_vm) continue;
@@ -165,7 +167,7 @@
 
 void Dispatcher::RelocateServing(TimePoint now) {
   // While long-running tasks wait for room, a moved one might find none.
-  if (!reserved_capacity_.empty()) return;
+  if (!reservations_.empty()) return;
   std::vector<Relocation> plans;
   for (const auto& [name, vm] : vms_) {
     if (!vm.has_inventory || vm.serving.size() < 2) continue;
--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -14,9 +14,6 @@
 // Wait of a task that has never run before capacity is reserved for it. Most
 // find room within a second, as short tasks end.
 constexpr Duration kFirstRunWait = std::chrono::milliseconds(1500);
-// Downtime after which a task may go to a VM in quarantine. Users count it as
-// lost after 6 s.
-constexpr Duration kMaxDowntime = std::chrono::milliseconds(2500);
 // A long-running task that has run this long shows that its VM is healthy: on a
 // faulty VM, tasks fail sooner.
 constexpr Duration kProbeTime = std::chrono::milliseconds(5000);
@@ -39,12 +36,6 @@
 // Each search compares all VMs for each task that might move.
 constexpr int kMaxRoomSearches = 4;
 
-bool IsReservedFor(const dispatch_internal::CapacityReservation& reservation,
-                   const Workflow& workflow, const WorkflowStep& step) {
-  return reservation.task.workflow == workflow.id &&
-         &workflow.steps[reservation.task.step] == &step;
-}
-
 }  // namespace
 
 void Dispatcher::RefreshLongRunning(TimePoint now) {
@@ -54,12 +45,6 @@
   ReserveForLongRunning(now);
 }
 
-bool Dispatcher::MayStartInQuarantine(const Job& job, const WorkflowStep& step,
-                                      TimePoint now) {
-  return step.long_running && job.down_since &&
-         now - *job.down_since >= kMaxDowntime;
-}
-
 // A long-running task that has been down for too long need not wait for the
 // next probe.
 bool Dispatcher::IsHealthyFor(const std::string& name, const Vm& vm,
@@ -71,7 +56,7 @@
       vm.held.begin(), vm.held.end(),
       [&](const auto& entry) { return entry.second.since >= *quarantined; }));
   if (health_.MayPlace(name, probes, now)) return true;
-  return probes == 0 && MayStartInQuarantine(job, step, now);
+  return probes == 0 && dispatch_internal::MayStartInQuarantine(job, step, now);
 }
 
 void Dispatcher::PassLongRunningProbes(TimePoint now) {
@@ -95,6 +80,7 @@
 void Dispatcher::CollectLongRunningWaits(Job& job, TimePoint now,
                                          std::vector<LongRunningWait>& waits) {
   job.down_since.reset();
+  job.reservations = 0;
   if (!MayStart(job)) return;
   const Workflow& workflow = job.progress.workflow();
   for (uint32_t number = 0; number < workflow.steps.size(); ++number) {
@@ -121,9 +107,13 @@
 
 // Tasks that have run before come first: their users notice the outage.
 void Dispatcher::ReserveForLongRunning(TimePoint now) {
-  std::map<TaskRef, std::pair<std::string, CapacityReservation>> before;
-  for (auto& [name, reservation] : std::exchange(reserved_capacity_, {})) {
-    before[reservation.task] = {name, reservation};
+  // By workflow and step, whose tasks may use each other's reservations.
+  std::multimap<std::pair<std::string, uint32_t>,
+                CapacityReservations::ByVm::value_type>
+      before;
+  for (const auto& entry : reservations_.TakeAll()) {
+    const TaskRef& task = entry.second.task;
+    before.insert({{task.workflow, task.step}, entry});
   }
   std::vector<LongRunningWait> waits;
   for (const auto& [id, job] : jobs_) CollectLongRunningWaits(*job, now, waits);
@@ -132,15 +122,18 @@
   const bool seek_room = now - room_sought_at_ >= kRoomMakingInterval;
   int searches = seek_room ? kMaxRoomSearches : 0;
   for (const LongRunningWait& wait : waits) {
-    if (reserved_capacity_.size() >= most) break;
-    const auto earlier = before.find(wait.task);
+    if (reservations_.size() >= most) break;
+    const std::pair step(wait.task.workflow, wait.task.step);
     std::string passed_over;
-    if (earlier != before.end()) {
-      const auto& [name, reservation] = earlier->second;
-      if (KeepReservation(name, reservation, wait, now)) continue;
-      passed_over = name;
+    bool kept = false;
+    for (auto it = before.find(step); !kept && it != before.end();
+         it = before.find(step)) {
+      passed_over = it->second.first;
+      kept = KeepReservation(passed_over, it->second.second, wait, now);
+      before.erase(it);
     }
-    if (ReserveVmFor(wait, passed_over, now)) continue;
+    if (kept || ReserveVmFor(wait, passed_over, now)) continue;
+    if (!passed_over.empty() && ReserveVmFor(wait, "", now)) continue;
     if (wait.first_run || now - wait.since < kRoomMakingWait) continue;
     if (searches <= 0) continue;
     room_sought_at_ = now;
@@ -154,7 +147,7 @@
                                  CapacityReservation reservation,
                                  const LongRunningWait& wait, TimePoint now) {
   Vm& vm = vms_[name];
-  if (!RoomBesideLongRunning(vm).Holds(reservation.amount) ||
+  if (!dispatch_internal::RoomBesideLongRunning(vm).Holds(reservation.amount) ||
       !MayBeReserved(name, vm, wait, now)) {
     return false;
   }
@@ -166,7 +159,9 @@
     const bool overdue = now - wait.since >= kMaxRoomWait;
     if (!wait.first_run && overdue) StopShortTasks(name, vm, wait, now);
   }
-  reserved_capacity_[name] = reservation;
+  reservation.task = wait.task;
+  reservations_.Set(name, reservation);
+  ++wait.job->reservations;
   return true;
 }
 
@@ -205,29 +200,17 @@
 bool Dispatcher::MayBeReserved(const std::string& name, const Vm& vm,
                                const LongRunningWait& wait,
                                TimePoint now) const {
-  if (reserved_capacity_.count(name) > 0 || health_.IsQuarantined(name) ||
+  if (reservations_.On(name) != nullptr || health_.IsQuarantined(name) ||
       stalls_.Avoids(name)) {
     return false;
   }
   const Job& job = *wait.job;
-  if (AdmissionObstacle(vm, name, job, *wait.step, now) != Obstacle::kNone) {
+  if (VmObstacle(vm, name, job, *wait.step, now) != Obstacle::kNone) {
     return false;
   }
   const WorkflowProgress::OpenStep open{wait.task.round, wait.task.step};
-  return StepObstacle(vm, job, *wait.step, open, now) != Obstacle::kPerVmLimit;
-}
-
-// What a VM has beside its long-running tasks. Those that are being stopped
-// don't count.
-Resources Dispatcher::RoomBesideLongRunning(const Vm& vm) {
-  Resources room = vm.status.capacity - vm.long_running;
-  for (const RunRef& run : vm.stops.Runs()) {
-    const auto it = vm.held.find(run);
-    if (it != vm.held.end() && it->second.long_running) {
-      room += it->second.amount;
-    }
-  }
-  return room;
+  return dispatch_internal::StepObstacle(vm, job, open, now) !=
+         Obstacle::kPerVmLimit;
 }
 
 // Chooses the VM with most processor time beside its long-running tasks: this
@@ -238,15 +221,17 @@
   const std::string* best = nullptr;
   int64_t most = 0;
   for (const auto& [name, vm] : vms_) {
-    const Resources room = RoomBesideLongRunning(vm);
+    const Resources room = dispatch_internal::RoomBesideLongRunning(vm);
     if (!room.Holds(need)) continue;
     if (best != nullptr && room.cpu_millis <= most) continue;
     if (name == passed_over || !MayBeReserved(name, vm, wait, now)) continue;
     best = &name;
     most = room.cpu_millis;
   }
-  if (best != nullptr) reserved_capacity_[*best] = {wait.task, need, now, {}};
-  return best != nullptr;
+  if (best == nullptr) return false;
+  reservations_.Set(*best, {wait.task, need, now, std::nullopt});
+  ++wait.job->reservations;
+  return true;
 }
 
 bool Dispatcher::MakeRoomFor(const LongRunningWait& wait, TimePoint now) {
@@ -261,7 +246,7 @@
   for (const auto& [name, vm] : vms_) {
     if (!MayBeReserved(name, vm, wait, now)) continue;
     RoomOnVm& room = rooms.emplace_back();
-    room.room = RoomBesideLongRunning(vm);
+    room.room = dispatch_internal::RoomBesideLongRunning(vm);
     auto& movable = runs.emplace_back(name, std::vector<RunRef>()).second;
     for (const auto& [run, held] : vm.held) {
       if (!held.long_running || !is_movable(vm, run)) continue;
@@ -292,33 +277,4 @@
   return true;
 }
 
-bool Dispatcher::HasReservation(const Job& job,
-                                const WorkflowStep& step) const {
-  const Workflow& workflow = job.progress.workflow();
-  return std::any_of(reserved_capacity_.begin(), reserved_capacity_.end(),
-                     [&](const auto& entry) {
-                       return IsReservedFor(entry.second, workflow, step);
-                     });
-}
-
-bool Dispatcher::FitsBesideReservation(const std::string& name, const Vm& vm,
-                                       const Job& job,
-                                       const WorkflowStep& step) const {
-  const auto reservation = reserved_capacity_.find(name);
-  if (reservation == reserved_capacity_.end() ||
-      IsReservedFor(reservation->second, job.progress.workflow(), step)) {
-    return true;
-  }
-  const Resources left =
-      vm.status.capacity - vm.used - reservation->second.amount;
-  const Resources need = dispatch_internal::RoomNeededBy(step);
-  // A task that needs none of a resource takes nothing from the reservation.
-  const auto fits = [](int64_t asked, int64_t free) {
-    return asked == 0 || asked <= free;
-  };
-  return fits(need.cpu_millis, left.cpu_millis) &&
-         fits(need.memory_mib, left.memory_mib) &&
-         fits(need.accelerators, left.accelerators);
-}
-
 }  // namespace beamhill
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -253,9 +253,9 @@
   return ReserveGang(job, open, run, std::nullopt, now);
 }
 
-Obstacle Dispatcher::AdmissionObstacle(const Vm& vm, const std::string& name,
-                                       const Job& job, const WorkflowStep& step,
-                                       TimePoint now) const {
+Obstacle Dispatcher::VmObstacle(const Vm& vm, const std::string& name,
+                                const Job& job, const WorkflowStep& step,
+                                TimePoint now) const {
   const VmStatus& status = vm.status;
   if (!vm.linked || !vm.has_inventory || !vm.leased || status.draining ||
       status.incarnation.empty()) {
@@ -288,43 +288,27 @@
   // Cheap and selective checks come first, expensive ones last.
   const Resources need = dispatch_internal::RoomNeededBy(step);
   if (!(vm.status.capacity - vm.used).Holds(need)) return Obstacle::kRoom;
-  const Obstacle admission = AdmissionObstacle(vm, name, job, step, now);
+  const Obstacle admission = VmObstacle(vm, name, job, step, now);
   if (admission != Obstacle::kNone) return admission;
   if (step.best_effort && !HasBestEffortRoom(vm, job, step)) {
     return Obstacle::kBestEffort;
   }
-  if (!FitsBesideReservation(name, vm, job, step)) return Obstacle::kReserved;
-  if (!IsHealthyFor(name, vm, job, step, now)) return Obstacle::kQuarantine;
-  return Obstacle::kNone;
-}
-
-Obstacle Dispatcher::StepObstacle(const Vm& vm, const Job& job,
-                                  const WorkflowStep& step,
-                                  const WorkflowProgress::OpenStep& open,
-                                  TimePoint now) const {
   const Workflow& workflow = job.progress.workflow();
-  if (workflow.policy.needs_advice &&
-      dispatch_internal::TicketFor(job, open, vm.status.incarnation, now) ==
-          nullptr) {
-    return Obstacle::kAdvice;
+  const auto number = static_cast<uint32_t>(&step - workflow.steps.data());
+  if (!reservations_.Admit(name, vm.status.capacity - vm.used, workflow.id,
+                           number, need)) {
+    return Obstacle::kReserved;
   }
-  const bool full = step.max_per_vm > 0 &&
-                    dispatch_internal::HeldRunsOfStep(vm, workflow.id, open) >=
-                        step.max_per_vm;
-  return full ? Obstacle::kPerVmLimit : Obstacle::kNone;
-}
-
-bool Dispatcher::Fits(const Vm& vm, const std::string& name, const Job& job,
-                      const WorkflowStep& step, TimePoint now) const {
-  return FitObstacle(vm, name, job, step, now) == Obstacle::kNone;
+  if (!IsHealthyFor(name, vm, job, step, now)) return Obstacle::kQuarantine;
+  return Obstacle::kNone;
 }
 
 bool Dispatcher::MayHost(const Vm& vm, const std::string& name, const Job& job,
                          const WorkflowStep& step,
                          const WorkflowProgress::OpenStep& open,
                          TimePoint now) const {
-  return Fits(vm, name, job, step, now) &&
-         StepObstacle(vm, job, step, open, now) == Obstacle::kNone;
+  return FitObstacle(vm, name, job, step, now) == Obstacle::kNone &&
+         dispatch_internal::StepObstacle(vm, job, open, now) == Obstacle::kNone;
 }
 
 // Lower is better. Best-effort tasks go where most processor time is free and
@@ -377,7 +361,8 @@
       search.rights |= kProbeVmStalledForLong;
     }
   }
-  if (MayStartInQuarantine(job, step, now)) search.rights |= kStartInQuarantine;
+  if (dispatch_internal::MayStartInQuarantine(job, step, now))
+    search.rights |= kStartInQuarantine;
   // Trials are opened for suspects.
   const bool on_trial =
       !suspects_.empty() &&
@@ -385,7 +370,7 @@
         return IsOnTrial(entry.second, now) &&
                entry.second.trial->workflows.count(workflow.id) > 0;
       });
-  if (on_trial || (step.long_running && HasReservation(job, step)) ||
+  if (on_trial || job.reservations > 0 ||
       dispatch_internal::NeedsGuaranteedRun(job)) {
     search.rights |= kOwnVm;
   }
@@ -459,7 +444,7 @@
     starts.latest_start = LatestStart(vm, now);
     starts.report_begin = !job.progress.begun();
   }
-  const Ticket* ticket = dispatch_internal::TicketFor(
+  const dispatch_internal::Ticket* ticket = dispatch_internal::TicketFor(
       job, {ref.round, ref.step}, vm.status.incarnation, now);
   starts.runs.push_back(
       {ref.index, run, checkpoint, ticket == nullptr ? "" : ticket->text});
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -11,6 +11,8 @@
 namespace beamhill {
 namespace {
 
+using dispatch_internal::HeldRun;
+
 // After so many inventories with unknown workflows, their runs are stopped.
 constexpr int kMaxUnknownInventories = 4;
 // Delay before a refused or failed task is tried again.
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -86,41 +86,37 @@
   return orphans;
 }
 
-WaitReason Dispatcher::WaitReasonOf(const Job& job, const TaskRef& ref,
-                                    TimePoint now) const {
-  const WorkflowProgress::Task& task = job.progress.At(ref);
-  if (!job.opened) return WaitReason::kNotStored;
-  if (!MayStart(job)) return WaitReason::kInherited;
-  if (now < task.not_before) return WaitReason::kBackOff;
-  if (!task.crashed_runs.empty()) return WaitReason::kSuspect;
-  return WaitReason::kNoVm;
-}
-
 WaitingTask Dispatcher::Describe(const Job& job, const TaskRef& ref,
                                  TimePoint now) const {
-  const auto& last_end = job.progress.At(ref).last_run_ended_at;
+  const WorkflowProgress::Task& task = job.progress.At(ref);
+  const auto& last_end = task.last_run_ended_at;
   const WorkflowStep& step = job.progress.workflow().steps[ref.step];
   const WorkflowProgress::OpenStep open{ref.round, ref.step};
   WaitingTask waiting;
   waiting.task = ref;
   waiting.first_run = !last_end;
   waiting.waited = now - last_end.value_or(job.added_at);
-  waiting.reason = WaitReasonOf(job, ref, now);
+  if (!job.opened) {
+    waiting.reason = WaitReason::kNotStored;
+  } else if (!MayStart(job)) {
+    waiting.reason = WaitReason::kInherited;
+  } else if (now < task.not_before) {
+    waiting.reason = WaitReason::kBackOff;
+  } else if (!task.crashed_runs.empty()) {
+    waiting.reason = WaitReason::kSuspect;
+  }
   for (const auto& [name, vm] : vms_) {
     if (MayHost(vm, name, job, step, open, now)) ++waiting.vms_with_room;
-    const auto reservation = reserved_capacity_.find(name);
-    if (reservation == reserved_capacity_.end() ||
-        !(reservation->second.task == ref)) {
-      continue;
-    }
+    const CapacityReservation* reservation = reservations_.On(name);
+    if (reservation == nullptr || !(reservation->task == ref)) continue;
     if (waiting.reason == WaitReason::kNoVm) {
       waiting.reason = WaitReason::kReserved;
     }
     waiting.reserved_vm = name;
-    waiting.reserved_for = now - reservation->second.since;
+    waiting.reserved_for = now - reservation->since;
     waiting.obstacle = FitObstacle(vm, name, job, step, now);
     if (waiting.obstacle != Obstacle::kNone) continue;
-    waiting.obstacle = StepObstacle(vm, job, step, open, now);
+    waiting.obstacle = dispatch_internal::StepObstacle(vm, job, open, now);
   }
   return waiting;
 }
--- a/beamhill/dispatch/dispatch_types.h
+++ b/beamhill/dispatch/dispatch_types.h
@@ -16,6 +16,7 @@
 
 #include "beamhill/base/time.h"
 #include "beamhill/dispatch/dispatch_messages.h"
+#include "beamhill/dispatch/wait_reason.h"
 #include "beamhill/workflow/workflow_progress.h"
 
 namespace beamhill {
@@ -85,6 +86,18 @@
   Duration age{};  // Time since the workflow finished.
 };
 
+// A long-running task that has been waiting for a while.
+struct WaitingTask {
+  TaskRef task;
+  bool first_run = false;
+  Duration waited{};
+  WaitReason reason = WaitReason::kNoVm;
+  size_t vms_with_room = 0;  // VMs that could take it now.
+  std::string reserved_vm;   // Empty if none is reserved for it.
+  Duration reserved_for{};
+  Obstacle obstacle = Obstacle::kNone;  // Of the reserved VM.
+};
+
 // A message for the executor of a VM.
 struct VmMessage {
   std::string vm;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -38,6 +38,7 @@
 
 #include "beamhill/base/time.h"
 #include "beamhill/dispatch/best_effort_rank.h"
+#include "beamhill/dispatch/capacity_reservations.h"
 #include "beamhill/dispatch/dispatch_messages.h"
 #include "beamhill/dispatch/dispatch_types.h"
 #include "beamhill/dispatch/internal/dispatch_state.h"
@@ -45,7 +46,6 @@
 #include "beamhill/dispatch/run_log.h"
 #include "beamhill/dispatch/run_time_estimator.h"
 #include "beamhill/dispatch/stalled_vms.h"
-#include "beamhill/dispatch/wait_reason.h"
 #include "beamhill/placement/failed_searches.h"
 #include "beamhill/placement/pairwise_interference.h"
 #include "beamhill/placement/serving_layout.h"
@@ -156,13 +156,9 @@
   std::string Dump(TimePoint now) const;
 
  private:
-  using Ticket = dispatch_internal::Ticket;
-  using StepAdvice = dispatch_internal::StepAdvice;
   using Job = dispatch_internal::Job;
-  using HeldRun = dispatch_internal::HeldRun;
   using Vm = dispatch_internal::Vm;
   using LongRunningWait = dispatch_internal::LongRunningWait;
-  using CapacityReservation = dispatch_internal::CapacityReservation;
   using Relocation = dispatch_internal::Relocation;
   // By VM: the runner incarnation and the number of an end.
   using EndsByVm = std::map<std::string, std::pair<std::string, uint64_t>>;
@@ -186,6 +182,7 @@
   // Whether its tasks may start: it is stored under this epoch, and the runs
   // that an earlier owner may have started are known.
   bool MayStart(const Job& job) const;
+  WaitingTask Describe(const Job& job, const TaskRef& ref, TimePoint now) const;
   void LogDecision(const std::string& workflow, const char* event,
                    const std::string& detail);
   void OnOver(Job& job, TimePoint now);
@@ -193,11 +190,6 @@
   // Whether the bound has passed and the ownership was confirmed since.
   bool IsPastAndConfirmed(TimePoint bound, TimePoint now) const;
 
-  // In dispatch_summary.cc.
-  WaitReason WaitReasonOf(const Job& job, const TaskRef& ref,
-                          TimePoint now) const;
-  WaitingTask Describe(const Job& job, const TaskRef& ref, TimePoint now) const;
-
   // In dispatch_runs.cc.
   // Hold reserves the run's resources on the VM, Release frees them.
   void Hold(Vm& vm, const RunRef& run, Job& job, const WorkflowStep& step);
@@ -355,7 +347,6 @@
   // Whether the VM would take the task if it had room.
   bool MayBeReserved(const std::string& name, const Vm& vm,
                      const LongRunningWait& wait, TimePoint now) const;
-  static Resources RoomBesideLongRunning(const Vm& vm);
   // Reserves a VM other than `passed_over`; returns whether there is one.
   bool ReserveVmFor(const LongRunningWait& wait, const std::string& passed_over,
                     TimePoint now);
@@ -367,15 +358,6 @@
                       const LongRunningWait& wait, TimePoint now);
   // Moves another long-running task if that makes room for the one that waits.
   bool MakeRoomFor(const LongRunningWait& wait, TimePoint now);
-  bool HasReservation(const Job& job, const WorkflowStep& step) const;
-  // Whether the step fits beside the VM's reservation for another step, if
-  // there is one.
-  bool FitsBesideReservation(const std::string& name, const Vm& vm,
-                             const Job& job, const WorkflowStep& step) const;
-  // Whether a task of the step has been down so long that it may go to a VM in
-  // quarantine.
-  static bool MayStartInQuarantine(const Job& job, const WorkflowStep& step,
-                                   TimePoint now);
   // Whether the VM's health allows the task.
   bool IsHealthyFor(const std::string& name, const Vm& vm, const Job& job,
                     const WorkflowStep& step, TimePoint now) const;
@@ -442,19 +424,12 @@
                TimePoint now, std::string* name,
                const std::optional<std::string>& rack = std::nullopt);
   // Why the VM admits no task of the step, however much room it has.
-  Obstacle AdmissionObstacle(const Vm& vm, const std::string& name,
-                             const Job& job, const WorkflowStep& step,
-                             TimePoint now) const;
+  Obstacle VmObstacle(const Vm& vm, const std::string& name, const Job& job,
+                      const WorkflowStep& step, TimePoint now) const;
   // As above, or for want of room or health.
   Obstacle FitObstacle(const Vm& vm, const std::string& name, const Job& job,
                        const WorkflowStep& step, TimePoint now) const;
-  // By the step's own limits and tickets.
-  Obstacle StepObstacle(const Vm& vm, const Job& job, const WorkflowStep& step,
-                        const WorkflowProgress::OpenStep& open,
-                        TimePoint now) const;
-  bool Fits(const Vm& vm, const std::string& name, const Job& job,
-            const WorkflowStep& step, TimePoint now) const;
-  // Fits, and the step's own limits and tickets allow the VM.
+  // No obstacle, and the step's own limits and tickets allow the VM.
   bool MayHost(const Vm& vm, const std::string& name, const Job& job,
                const WorkflowStep& step, const WorkflowProgress::OpenStep& open,
                TimePoint now) const;
@@ -479,8 +454,7 @@
   TimePoint room_sought_at_{};
   Evacuations evacuations_;
   TimePoint halls_evacuated_at_{};
-  // Capacity reserved for a long-running task, by VM.
-  std::map<std::string, CapacityReservation> reserved_capacity_;
+  CapacityReservations reservations_;  // For long-running tasks.
   ServingLayout layout_;
   ServingLayout::Demands image_demand_;
   std::map<std::string, Duration> tail_targets_;  // By serving image.
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -19,6 +19,7 @@
 #include "beamhill/base/time.h"
 #include "beamhill/dispatch/dispatch_messages.h"
 #include "beamhill/dispatch/pending_stops.h"
+#include "beamhill/dispatch/wait_reason.h"
 #include "beamhill/workflow/workflow_progress.h"
 
 namespace beamhill::dispatch_internal {
@@ -33,6 +34,9 @@
 // Long-running tasks count as not running for this long after their start, as
 // they may still be warming up.
 inline constexpr Duration kStartUpTime = std::chrono::milliseconds(2500);
+// Downtime after which a task may go to a VM in quarantine. Users count it as
+// lost after 6 s.
+inline constexpr Duration kMaxDowntime = std::chrono::milliseconds(2500);
 // Time for a start order and its report to arrive, so that the owner and the
 // executor count the same window.
 inline constexpr Duration kTrialMargin = std::chrono::milliseconds(200);
@@ -76,6 +80,7 @@
   // When the long-running task that has been down longest last ran; unset while
   // none is down.
   std::optional<TimePoint> down_since;
+  uint32_t reservations = 0;  // VMs that have capacity reserved for it.
   // By round and step; only for queues whose placement an advisor restricts.
   std::map<std::pair<uint32_t, uint32_t>, StepAdvice> advice;
 };
@@ -85,7 +90,7 @@
 struct LongRunningWait {
   bool first_run = false;
   TimePoint since{};
-  const Job* job = nullptr;
+  Job* job = nullptr;
   const WorkflowStep* step = nullptr;
   TaskRef task;
 
@@ -94,14 +99,6 @@
   }
 };
 
-// Capacity of a VM that is reserved for a long-running task.
-struct CapacityReservation {
-  TaskRef task;
-  Resources amount;
-  TimePoint since{};
-  std::optional<TimePoint> room_since;  // Since when the VM has had the room.
-};
-
 // A plan to move all tasks of one serving image off a VM.
 struct Relocation {
   // Gain for best-effort tasks in cores, less the minimum gain per move.
@@ -260,6 +257,40 @@
   return static_cast<uint32_t>(held);
 }
 
+// The obstacle that the step's own limit or the lack of a ticket makes.
+inline Obstacle StepObstacle(const Vm& vm, const Job& job,
+                             const WorkflowProgress::OpenStep& open,
+                             TimePoint now) {
+  const Workflow& workflow = job.progress.workflow();
+  const WorkflowStep& step = workflow.steps[open.step];
+  if (workflow.policy.needs_advice &&
+      TicketFor(job, open, vm.status.incarnation, now) == nullptr) {
+    return Obstacle::kAdvice;
+  }
+  const bool full = step.max_per_vm > 0 &&
+                    HeldRunsOfStep(vm, workflow.id, open) >= step.max_per_vm;
+  return full ? Obstacle::kPerVmLimit : Obstacle::kNone;
+}
+
+// What the VM has beside its long-running tasks. Those that are being stopped
+// don't count.
+inline Resources RoomBesideLongRunning(const Vm& vm) {
+  Resources room = vm.status.capacity - vm.long_running;
+  if (vm.stops.empty()) return room;
+  for (const auto& [run, held] : vm.held) {
+    if (held.long_running && vm.stops.Has(run)) room += held.amount;
+  }
+  return room;
+}
+
+// Whether a task of the step has been down so long that it may go to a VM in
+// quarantine.
+inline bool MayStartInQuarantine(const Job& job, const WorkflowStep& step,
+                                 TimePoint now) {
+  return step.long_running && job.down_since &&
+         now - *job.down_since >= kMaxDowntime;
+}
+
 // Keeps other workflows off until a start at `begins` can no longer crash the
 // runner.
 inline void BeginTrial(Vm& vm, const std::string& workflow, TimePoint begins) {
--- a/beamhill/dispatch/wait_reason.h
+++ b/beamhill/dispatch/wait_reason.h
@@ -1,19 +1,14 @@
 // Why tasks wait and VMs don't take them, for decisions, logs and metrics
 // alike.
 //
-//   if (dispatcher.WaitingTasks(now)[0].reason == WaitReason::kInherited) ...
+//   Log("task_waits", WaitReasonName(WaitReason::kInherited));
 #ifndef BEAMHILL_DISPATCH_WAIT_REASON_H_
 #define BEAMHILL_DISPATCH_WAIT_REASON_H_
 
 #include <array>
-#include <cstddef>
 #include <cstdint>
-#include <string>
 #include <string_view>
 
-#include "beamhill/base/time.h"
-#include "beamhill/workflow/workflow_progress.h"
-
 namespace beamhill {
 
 // Why a VM can't take a task of a step at present.
@@ -50,18 +45,6 @@
     WaitReason::kSuspect,   WaitReason::kReserved,  WaitReason::kNoVm};
 std::string_view WaitReasonName(WaitReason reason);
 
-// A long-running task that has been waiting for a while.
-struct WaitingTask {
-  TaskRef task;
-  bool first_run = false;
-  Duration waited{};
-  WaitReason reason = WaitReason::kNoVm;
-  size_t vms_with_room = 0;  // VMs that could take it now.
-  std::string reserved_vm;   // Empty if none is reserved for it.
-  Duration reserved_for{};
-  Obstacle obstacle = Obstacle::kNone;  // Of the reserved VM.
-};
-
 }  // namespace beamhill
 
 #endif  // BEAMHILL_DISPATCH_WAIT_REASON_H_
