Dispatcher: evacuations don't rest while capacity is reserved

What operators saw: an evacuation that stood still for as long as any long-running task waited for room, which under overload may be always.

Cause: a moved task might have taken the reserved room, so moves rested. Since reservations hold against long-running tasks, too, a task moves only where it fits beside them.

Evidence: EvacuationGoesOnWhileCapacityIsReserved: no stop before, one now.

--- a/beamhill/dispatch/dispatch_halls.cc
+++ b/beamhill/dispatch/dispatch_halls.cc
@@ -28,8 +28,7 @@
 }
 
 void Dispatcher::EvacuateHalls(TimePoint now) {
-  // While long-running tasks wait for room, a moved one might find none.
-  if (evacuations_.halls.empty() || !reservations_.empty()) return;
+  if (evacuations_.halls.empty()) return;
   if (now - halls_evacuated_at_ < kHallCheckInterval) return;
   halls_evacuated_at_ = now;
   for (auto& [name, vm] : vms_) {
--- a/beamhill/dispatch/dispatch_halls_test.cc
+++ b/beamhill/dispatch/dispatch_halls_test.cc
@@ -103,6 +103,32 @@
   EXPECT_THAT(TakeSent().stops, SizeIs(1));
 }
 
+// Guards against an evacuation that rests for as long as some new task waits.
+TEST_F(DispatcherHallsTest, EvacuationGoesOnWhileCapacityIsReserved) {
+  TakeOwnership({});
+  halls_["vm-n"] = "north";
+  ConnectVm("vm-n");
+  dispatcher_->AddWorkflow(LongRunningWorkflow(1), std::nullopt, now_);
+  ASSERT_THAT(Tick().starts, SizeIs(1));
+  labels_["vm-s"] = {"large"};
+  ConnectVm("vm-s");
+  ConnectVm("vm-s2");
+  Workflow quick = SingleStepWorkflow("quick", 4, 2);
+  quick.steps[0].required_label = "large";
+  dispatcher_->AddWorkflow(quick, std::nullopt, now_);
+  ASSERT_THAT(Tick().starts, SizeIs(4));
+  Workflow large = LongRunningWorkflow(1);
+  large.id = "large";
+  large.steps[0].each = {8000, 100, 0};
+  large.steps[0].required_label = "large";
+  dispatcher_->AddWorkflow(large, std::nullopt, now_);
+  AdvanceTime(seconds(3), {"vm-n", "vm-s", "vm-s2"});
+  ASSERT_THAT(TakeSent().starts, IsEmpty());
+  Evacuate({"north"});
+  AdvanceTime(seconds(1), {"vm-n", "vm-s", "vm-s2"});
+  EXPECT_THAT(TakeSent().stops, SizeIs(1));
+}
+
 TEST_F(DispatcherHallsTest, LongRunningTasksStayWhileNoOtherHallHasCapacity) {
   ConnectOneVmPerHall();
   dispatcher_->AddWorkflow(LongRunningWorkflow(8), std::nullopt, now_);
