--- a/beamhill/dispatch/dispatch_advice.cc
+++ b/beamhill/dispatch/dispatch_advice.cc
@@ -24,8 +24,9 @@
   std::vector<std::string> runners;
   for (const auto& [name, vm] : vms_) {
     if (FitObstacle(vm, name, job, workflow.steps[open.step], now) !=
-        Obstacle::kNone)
+        Obstacle::kNone) {
       continue;
+    }
     if (dispatch_internal::TicketFor(job, open, vm.status.incarnation, now) !=
         nullptr) {
       return true;
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -361,8 +361,9 @@
       search.rights |= kProbeVmStalledForLong;
     }
   }
-  if (dispatch_internal::MayStartInQuarantine(job, step, now))
+  if (dispatch_internal::MayStartInQuarantine(job, step, now)) {
     search.rights |= kStartInQuarantine;
+  }
   // Trials are opened for suspects.
   const bool on_trial =
       !suspects_.empty() &&
