Dispatcher: tasks that went down together keep their order

Cause: tasks that lapse at the same moment compared as equal, so that their order could change whenever one of them started; with more of them than VMs may be reserved, a reservation could be dropped for another one. Found by reading.

Change: the task decides between equals.

Result: all tests of the dispatcher pass.

--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -293,10 +293,9 @@
   if (step.best_effort && !HasBestEffortRoom(vm, job, step)) {
     return Obstacle::kBestEffort;
   }
-  const Workflow& workflow = job.progress.workflow();
-  const auto number = static_cast<uint32_t>(&step - workflow.steps.data());
-  if (!reservations_.Admit(name, vm.status.capacity - vm.used, workflow.id,
-                           number, need)) {
+  if (!reservations_.Admit(name, vm.status.capacity - vm.used,
+                           job.progress.workflow().id,
+                           dispatch_internal::StepNumber(job, step), need)) {
     return Obstacle::kReserved;
   }
   if (!IsHealthyFor(name, vm, job, step, now)) return Obstacle::kQuarantine;
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -95,7 +95,8 @@
   TaskRef task;
 
   bool operator<(const LongRunningWait& other) const {
-    return std::tie(first_run, since) < std::tie(other.first_run, other.since);
+    return std::tie(first_run, since, task) <
+           std::tie(other.first_run, other.since, other.task);
   }
 };
 
@@ -215,6 +216,12 @@
   return !step.gang && !step.long_running;
 }
 
+// The number of the step, which must be one of the workflow's own.
+inline uint32_t StepNumber(const Job& job, const WorkflowStep& step) {
+  const auto& steps = job.progress.workflow().steps;
+  return static_cast<uint32_t>(&step - steps.data());
+}
+
 // What a task of the step takes from others. Best-effort tasks share the
 // processor time that others leave.
 inline Resources RoomNeededBy(const WorkflowStep& step) {
