Workflow: a refused start is not a run

What callers saw: each refusal of a start began the downtime of a long-running task anew, so that it lost its place, and a task that had never run counted as one that had and got short tasks stopped for it.

Cause: the end of a run that never began was recorded as the end of the last run.

Evidence: RefusedStartDoesNotRestartTheDowntime (6.15 s before) and RefusedTaskThatNeverRanStopsNothing failed before, and pass.

--- a/beamhill/workflow/workflow_progress.cc
+++ b/beamhill/workflow/workflow_progress.cc
@@ -351,7 +351,9 @@
     CompleteIfAllDone();
     return true;
   }
+  const auto last_end = task.last_run_ended_at;
   ReleaseRun(task, run, now);
+  if (kind == RunEndKind::kNotBegun) task.last_run_ended_at = last_end;
   if (!checkpoint.empty()) task.checkpoint = checkpoint;
   return kind == RunEndKind::kFailed && CountFailure(ref, run);
 }
