Dispatcher: the long-running task that is down longest starts first

What callers saw: a task that had been down for 3 s, and for which room was made, lost that room to others of its step that lapsed later, since tasks of a step started by their number.

Evidence: TaskOfTheSameStepDoesNotTakeTheRoom: started after 7.2 s before, in time now. The users' task was number 7 of its step; that this was theirs is not shown.

Change: tasks of a long-running step start in the order in which they went down.

--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -169,12 +169,20 @@
   const WorkflowStep& step = workflow.steps[open.step];
   std::vector<WorkflowProgress::Task>& tasks =
       job.progress.TasksOf(open.round, open.step);
+  std::vector<uint32_t> waiting;
   for (uint32_t i = 0; i < tasks.size(); ++i) {
+    const bool waits = tasks[i].phase == WorkflowProgress::Phase::kWaiting;
+    if (waits && now >= tasks[i].not_before) waiting.push_back(i);
+  }
+  // The one that has been down longest comes first.
+  if (step.long_running) {
+    std::stable_sort(waiting.begin(), waiting.end(), [&](auto a, auto b) {
+      return tasks[a].last_run_ended_at.value_or(now) <
+             tasks[b].last_run_ended_at.value_or(now);
+    });
+  }
+  for (const uint32_t i : waiting) {
     WorkflowProgress::Task& task = tasks[i];
-    if (task.phase != WorkflowProgress::Phase::kWaiting ||
-        now < task.not_before) {
-      continue;
-    }
     std::string name;
     const bool suspect = !task.crashed_runs.empty();
     Vm* vm = suspect ? ChooseForTrial({&job, open}, task, now, &name)
