Dispatcher: an evacuation promises room once

What callers saw: long-running tasks stopped by an evacuation with room for one of them; they can't return to their VM and are down until there is room.

Cause: whether another VM has room was asked for each task on its own, and the room was held for none.

Evidence: EvacuationPromisesRoomOnce: three stops for the room of one before, one now.

Change: as for moves off stalled VMs, room is held within the pass, first for the tasks that are away already.

--- a/beamhill/dispatch/dispatch_halls.cc
+++ b/beamhill/dispatch/dispatch_halls.cc
@@ -31,6 +31,10 @@
   if (evacuations_.halls.empty()) return;
   if (now - halls_evacuated_at_ < kHallCheckInterval) return;
   halls_evacuated_at_ = now;
+  failed_searches_.Clear();
+  // So that no two tasks are promised the same room.
+  std::vector<Reservation> reserved;
+  ReserveForAway(now, reserved);
   for (auto& [name, vm] : vms_) {
     if (!vm.has_inventory || !IsEvacuated(vm)) continue;
     for (const auto& [run, held] :
@@ -43,14 +47,11 @@
         continue;
       }
       if (!AllTasksRunning(*job, run, now)) continue;
-      const auto loss =
-          MinLayoutLoss(name, *job, {run.task.round, run.task.step}, now);
-      if (loss) {
-        MigrateRun(name, vm, *job, run, "its data hall is being evacuated",
-                   now);
-      }
+      if (!ReserveMove(*job, run.task, now, reserved)) continue;
+      MigrateRun(name, vm, *job, run, "its data hall is being evacuated", now);
     }
   }
+  for (const auto& [name, run] : reserved) Release(vms_[name], run);
 }
 
 }  // namespace beamhill
