Dispatcher: a reservation ends whatever keeps its VM from getting the room

What callers saw: a task that has run before waits without a bound although another VM could have been cleared for it, and short tasks are stopped for nothing.

Cause, in each case what was chosen by one predicate and used by another: - all short work counted as leaving, but gangs are not stopped; stops that are not confirmed had no bound (VmFullOfAGang.., VmThatStopsNothing..); - the VMs that had been reserved in vain were forgotten after one turn (ThirdVmIsReservedInTheEnd); - a reservation in vain kept other tasks that are down off free room (TaskIsNotKeptOffRoomReservedInVain); - short tasks were stopped again and again for a task that room alone does not help (ShortTasksAreNotStoppedAgainAndAgain); - room was sought while reservations were half renewed (NoTaskIsMovedToRoomReservedForAnother); - tasks that no move can help used up all searches (RoomIsMadeForTheFifthTask); - steps that are not open, and best-effort tasks, which wait for pace, held reservations (StepThatIsNotOpen.., BestEffortTask..); - an eighth of the VMs was the limit for all: of eight tasks that lapse together the last started after 7.2 s (TasksThatLapseTogetherStartInTime).

Change: reservations are renewed first, then made, then room is sought. VMs on which the room can be cleared come first; one that does not get the room, or does not use it, is passed over until all have been tried. Something is stopped only if room is all that the task lacks; each task is stopped twice at most, those with a checkpoint first. Only a reservation for which something was stopped holds against tasks that are down. Half of the VMs may be reserved for tasks that have run before, an eighth for new ones.

--- a/beamhill/dispatch/capacity_reservations.cc
+++ b/beamhill/dispatch/capacity_reservations.cc
@@ -22,11 +22,12 @@
 
 bool CapacityReservations::Admit(const std::string& vm, const Resources& free,
                                  const std::string& workflow, uint32_t step,
-                                 const Resources& need) const {
+                                 const Resources& need, bool down) const {
   const CapacityReservation* reservation = On(vm);
   if (reservation == nullptr || IsFor(*reservation, workflow, step)) {
     return true;
   }
+  if (down && !reservation->firm) return true;
   const Resources left = free - reservation->amount;
   return FitsIn(left.cpu_millis, need.cpu_millis) &&
          FitsIn(left.memory_mib, need.memory_mib) &&
--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -2,6 +2,7 @@
 // that wait, and lets them probe VMs in quarantine.
 #include <algorithm>
 #include <functional>
+#include <tuple>
 #include <utility>
 
 #include "beamhill/dispatch/dispatcher.h"
@@ -17,19 +18,27 @@
 // A long-running task that has run this long shows that its VM is healthy: on a
 // faulty VM, tasks fail sooner.
 constexpr Duration kProbeTime = std::chrono::milliseconds(5000);
-// At most 1/8 of the VMs, plus one, is reserved: under overload more tasks wait
-// than fit, and short tasks must still find room.
-constexpr size_t kReservedVmsDivisor = 8;
+// At most 1/8 of the VMs, plus one, is reserved for tasks that have never run:
+// under overload more tasks wait than fit, and short tasks must still find
+// room.
+constexpr size_t kNewTasksDivisor = 8;
+// At most half of the VMs, plus one, is reserved for tasks that have run
+// before.
+constexpr size_t kReservedVmsDivisor = 2;
 
 // Downtime after which short tasks on the reserved VM are stopped for the task.
 // Users count it as lost after 6 s, and a stop takes up to 1 s.
-constexpr Duration kMaxRoomWait = std::chrono::milliseconds(3000);
-// Time after which another VM is reserved if the first one has had the room.
+constexpr Duration kStopShortTasksAfter = std::chrono::milliseconds(3000);
+// Another VM is reserved if the stops are not confirmed within this time.
+constexpr Duration kMaxStopTime = std::chrono::milliseconds(1200);
+// Another VM is reserved if the first one has had the room for this time.
 constexpr Duration kMaxUnusedRoom = std::chrono::milliseconds(1500);
+// How often a task is stopped for long-running ones at most.
+constexpr uint32_t kMaxPreemptions = 2;
 
 // A task that has run before and for which no VM can be reserved waits this
 // long until another one is moved for it.
-constexpr Duration kRoomMakingWait = std::chrono::milliseconds(1000);
+constexpr Duration kSeekRoomAfter = std::chrono::milliseconds(1000);
 // Time for the moved task to end and for the waiting one to start. More moves
 // at once take each other's room.
 constexpr Duration kRoomMakingInterval = std::chrono::milliseconds(1000);
@@ -85,32 +94,37 @@
   const Workflow& workflow = job.progress.workflow();
   for (uint32_t number = 0; number < workflow.steps.size(); ++number) {
     const WorkflowStep& step = workflow.steps[number];
-    if (!step.long_running || step.gang) continue;
+    if (!step.long_running || step.gang ||
+        !dispatch_internal::IsOpen(job, step)) {
+      continue;
+    }
     const auto& tasks = job.progress.TasksOf(0, number);
     for (uint32_t i = 0; i < tasks.size(); ++i) {
       const WorkflowProgress::Task& task = tasks[i];
       const TaskRef ref{workflow.id, 0, number, i};
       if (task.phase != WorkflowProgress::Phase::kWaiting) continue;
-      if (!task.last_run_ended_at) {
-        if (now - job.added_at < kFirstRunWait) continue;
-        waits.push_back({/*first_run=*/true, job.added_at, &job, &step, ref});
-        continue;
+      LongRunningWait wait;
+      wait.first_run = !task.last_run_ended_at;
+      wait.since = task.last_run_ended_at.value_or(job.added_at);
+      wait.job = &job;
+      wait.step = &step;
+      wait.task = ref;
+      if (wait.first_run && now - wait.since < kFirstRunWait) continue;
+      if (!wait.first_run) {
+        job.down_since =
+            std::min(job.down_since.value_or(wait.since), wait.since);
       }
-      waits.push_back(
-          {/*first_run=*/false, *task.last_run_ended_at, &job, &step, ref});
-      job.down_since =
-          std::min(job.down_since.value_or(*task.last_run_ended_at),
-                   *task.last_run_ended_at);
+      // Best-effort tasks wait for pace, which can't be reserved.
+      if (!step.best_effort) waits.push_back(std::move(wait));
     }
   }
 }
 
-// Tasks that have run before come first: their users notice the outage.
+// Tasks that have run before come first: their users notice the outage. All
+// reservations are renewed before new ones are made, and new ones are made
+// before room is sought, so that none takes what is promised to another.
 void Dispatcher::ReserveForLongRunning(TimePoint now) {
-  // By workflow and step, whose tasks may use each other's reservations.
-  std::multimap<std::pair<std::string, uint32_t>,
-                CapacityReservations::ByVm::value_type>
-      before;
+  ReservationsByStep before;
   for (const auto& entry : reservations_.TakeAll()) {
     const TaskRef& task = entry.second.task;
     before.insert({{task.workflow, task.step}, entry});
@@ -118,37 +132,56 @@
   std::vector<LongRunningWait> waits;
   for (const auto& [id, job] : jobs_) CollectLongRunningWaits(*job, now, waits);
   std::sort(waits.begin(), waits.end());
-  const size_t most = 1 + vms_.size() / kReservedVmsDivisor;
-  const bool seek_room = now - room_sought_at_ >= kRoomMakingInterval;
-  int searches = seek_room ? kMaxRoomSearches : 0;
-  for (const LongRunningWait& wait : waits) {
-    if (reservations_.size() >= most) break;
-    const std::pair step(wait.task.workflow, wait.task.step);
-    std::string passed_over;
-    bool kept = false;
-    for (auto it = before.find(step); !kept && it != before.end();
-         it = before.find(step)) {
-      passed_over = it->second.first;
-      kept = KeepReservation(passed_over, it->second.second, wait, now);
-      before.erase(it);
+  const auto first_runs =
+      std::find_if(waits.begin(), waits.end(),
+                   [](const LongRunningWait& wait) { return wait.first_run; });
+  const auto reserve = [&](auto begin, auto end, size_t most) {
+    for (auto wait = begin; wait != end && reservations_.size() < most;
+         ++wait) {
+      wait->reserved = Renew(*wait, before, now);
+    }
+    for (auto wait = begin; wait != end && reservations_.size() < most;
+         ++wait) {
+      wait->reserved = wait->reserved || ReserveVmFor(*wait, now);
     }
-    if (kept || ReserveVmFor(wait, passed_over, now)) continue;
-    if (!passed_over.empty() && ReserveVmFor(wait, "", now)) continue;
-    if (wait.first_run || now - wait.since < kRoomMakingWait) continue;
-    if (searches <= 0) continue;
-    room_sought_at_ = now;
-    searches = MakeRoomFor(wait, now) ? 0 : searches - 1;
+  };
+  reserve(waits.begin(), first_runs, 1 + vms_.size() / kReservedVmsDivisor);
+  reserve(first_runs, waits.end(), 1 + vms_.size() / kNewTasksDivisor);
+  if (now - room_sought_at_ < kRoomMakingInterval) return;
+  int searches = kMaxRoomSearches;
+  for (auto wait = waits.begin(); wait != first_runs && searches > 0; ++wait) {
+    if (wait->reserved || now - wait->since < kSeekRoomAfter) continue;
+    if (MakeRoomFor(*wait, now, searches)) return;
+  }
+}
+
+bool Dispatcher::Renew(LongRunningWait& wait, ReservationsByStep& before,
+                       TimePoint now) {
+  const std::pair step(wait.task.workflow, wait.task.step);
+  for (auto it = before.find(step); it != before.end();
+       it = before.find(step)) {
+    const auto [name, reservation] = it->second;
+    before.erase(it);
+    if (KeepReservation(name, reservation, wait, now)) return true;
+    wait.tried = reservation.tried;
+    wait.tried.insert(name);
   }
+  return false;
 }
 
-// A task waits neither for short tasks that run on and on, nor for a VM that
-// has its room and does not get it started for reasons that are not known here.
+// A task waits neither for short tasks that run on and on or can't be stopped,
+// nor for a VM that has its room and does not get it started for reasons that
+// are not known here.
 bool Dispatcher::KeepReservation(const std::string& name,
                                  CapacityReservation reservation,
                                  const LongRunningWait& wait, TimePoint now) {
-  Vm& vm = vms_[name];
-  if (!dispatch_internal::RoomBesideLongRunning(vm).Holds(reservation.amount) ||
-      !MayBeReserved(name, vm, wait, now)) {
+  const Obstacle obstacle = ReservationObstacle(name, wait, now);
+  // Back-off ends soon, and the room would be lost.
+  if (obstacle != Obstacle::kNone && obstacle != Obstacle::kBackOff) {
+    return false;
+  }
+  const Vm& vm = vms_[name];
+  if (!dispatch_internal::RoomBesideLongRunning(vm).Holds(reservation.amount)) {
     return false;
   }
   if ((vm.status.capacity - vm.used).Holds(reservation.amount)) {
@@ -156,8 +189,14 @@
     if (now - *reservation.room_since >= kMaxUnusedRoom) return false;
   } else {
     reservation.room_since.reset();
-    const bool overdue = now - wait.since >= kMaxRoomWait;
-    if (!wait.first_run && overdue) StopShortTasks(name, vm, wait, now);
+    if (reservation.stops_since) {
+      if (now - *reservation.stops_since >= kMaxStopTime) return false;
+    } else if (dispatch_internal::LacksOnlyRoom(wait, vm, now) &&
+               now - wait.since >= kStopShortTasksAfter) {
+      if (!StopShortTasks(name, reservation.amount, now)) return false;
+      reservation.stops_since = now;
+      reservation.firm = true;
+    }
   }
   reservation.task = wait.task;
   reservations_.Set(name, reservation);
@@ -165,76 +204,93 @@
   return true;
 }
 
-// The last ones to start lose least. The members of a gang would all be lost.
-void Dispatcher::StopShortTasks(const std::string& name, Vm& vm,
-                                const LongRunningWait& wait, TimePoint now) {
+// Those that keep a checkpoint come first, then the last ones to start. The
+// members of a gang would all be lost.
+bool Dispatcher::StopShortTasks(const std::string& name, const Resources& need,
+                                TimePoint now) {
+  Vm& vm = vms_[name];
   Resources free = vm.status.capacity - vm.used;
-  std::vector<std::pair<TimePoint, RunRef>> runs;
+  using Candidate = std::tuple<bool, TimePoint, RunRef>;
+  std::vector<Candidate> runs;
   for (const auto& [run, held] : vm.held) {
     if (vm.stops.Has(run)) {
       free += held.amount;
       continue;
     }
     const Job* job = Find(run.task.workflow);
-    if (job == nullptr || !MayStart(*job) || held.long_running) continue;
-    if (job->progress.workflow().steps[run.task.step].gang) continue;
-    runs.emplace_back(held.since, run);
+    if (job == nullptr || !MayStart(*job) || held.long_running || held.gang ||
+        job->progress.At(run.task).preemptions >= kMaxPreemptions) {
+      continue;
+    }
+    const WorkflowStep& step = job->progress.workflow().steps[run.task.step];
+    runs.emplace_back(step.saves_progress, held.since, run);
   }
   std::sort(runs.begin(), runs.end(), std::greater<>());
   std::vector<Resources> amounts;
   amounts.reserve(runs.size());
-  for (const auto& entry : runs) {
-    amounts.push_back(vm.held.at(entry.second).amount);
+  for (const Candidate& candidate : runs) {
+    amounts.push_back(vm.held.at(std::get<RunRef>(candidate)).amount);
   }
-  for (const size_t chosen : ChooseTasksToStop(
-           free, amounts, dispatch_internal::RoomNeededBy(*wait.step))) {
-    const RunRef& run = runs[chosen].second;
-    MigrateRun(name, vm, *Find(run.task.workflow), run,
-               "makes room for a long-running task", now);
+  const auto chosen = ChooseTasksToStop(free, amounts, need);
+  for (const size_t i : chosen) {
+    const RunRef& run = std::get<RunRef>(runs[i]);
+    Job& job = *Find(run.task.workflow);
+    ++job.progress.At(run.task).preemptions;
+    MigrateRun(name, vm, job, run, "makes room for a long-running task", now);
   }
+  return !chosen.empty() || free.Holds(need);
 }
 
-// The same predicates decide about the start, so that what is reserved can be
-// used once short tasks have left. VMs in quarantine and stalled ones are left
-// to their probes. The advisor may be asked only once there is room.
-bool Dispatcher::MayBeReserved(const std::string& name, const Vm& vm,
-                               const LongRunningWait& wait,
-                               TimePoint now) const {
-  if (reservations_.On(name) != nullptr || health_.IsQuarantined(name) ||
-      stalls_.Avoids(name)) {
-    return false;
-  }
-  const Job& job = *wait.job;
-  if (VmObstacle(vm, name, job, *wait.step, now) != Obstacle::kNone) {
-    return false;
-  }
+// The predicates are those of the start. VMs in quarantine and stalled ones are
+// left to their probes. As long as the advisor has allowed no VM, any may be
+// reserved: it is asked only about VMs that have room.
+Obstacle Dispatcher::ReservationObstacle(const std::string& name,
+                                         const LongRunningWait& wait,
+                                         TimePoint now) const {
+  if (reservations_.On(name) != nullptr) return Obstacle::kReserved;
+  if (health_.IsQuarantined(name)) return Obstacle::kQuarantine;
+  if (stalls_.Avoids(name)) return Obstacle::kStalled;
+  const Vm& vm = vms_.at(name);
   const WorkflowProgress::OpenStep open{wait.task.round, wait.task.step};
-  return dispatch_internal::StepObstacle(vm, job, open, now) !=
-         Obstacle::kPerVmLimit;
+  const Obstacle obstacle =
+      dispatch_internal::StepObstacle(vm, *wait.job, open, now);
+  const bool unknown = obstacle == Obstacle::kAdvice &&
+                       !dispatch_internal::HasTicket(*wait.job, open, now);
+  if (obstacle != Obstacle::kNone && !unknown) return obstacle;
+  return VmObstacle(vm, name, *wait.job, *wait.step, now);
 }
 
 // Chooses the VM with most processor time beside its long-running tasks: this
-// choice is the most stable over time.
-bool Dispatcher::ReserveVmFor(const LongRunningWait& wait,
-                              const std::string& passed_over, TimePoint now) {
+// choice is the most stable over time. VMs on which short tasks can be stopped
+// come before others, and VMs that were reserved in vain after all others.
+bool Dispatcher::ReserveVmFor(const LongRunningWait& wait, TimePoint now) {
   const Resources need = dispatch_internal::RoomNeededBy(*wait.step);
   const std::string* best = nullptr;
-  int64_t most = 0;
+  std::tuple<bool, bool, int64_t> best_rank;
   for (const auto& [name, vm] : vms_) {
     const Resources room = dispatch_internal::RoomBesideLongRunning(vm);
     if (!room.Holds(need)) continue;
-    if (best != nullptr && room.cpu_millis <= most) continue;
-    if (name == passed_over || !MayBeReserved(name, vm, wait, now)) continue;
+    const std::tuple rank(wait.tried.count(name) == 0,
+                          dispatch_internal::RoomBesideGangs(vm).Holds(need),
+                          room.cpu_millis);
+    if (best != nullptr && rank <= best_rank) continue;
+    if (ReservationObstacle(name, wait, now) != Obstacle::kNone) continue;
     best = &name;
-    most = room.cpu_millis;
+    best_rank = rank;
   }
   if (best == nullptr) return false;
-  reservations_.Set(*best, {wait.task, need, now, std::nullopt});
+  CapacityReservation reservation;
+  reservation.task = wait.task;
+  reservation.amount = need;
+  reservation.since = now;
+  if (std::get<0>(best_rank)) reservation.tried = wait.tried;
+  reservations_.Set(*best, reservation);
   ++wait.job->reservations;
   return true;
 }
 
-bool Dispatcher::MakeRoomFor(const LongRunningWait& wait, TimePoint now) {
+bool Dispatcher::MakeRoomFor(const LongRunningWait& wait, TimePoint now,
+                             int& searches) {
   std::vector<RoomOnVm> rooms;
   std::vector<std::pair<std::string, std::vector<RunRef>>> runs;  // By VM.
   const auto is_movable = [&](const Vm& vm, const RunRef& run) {
@@ -244,7 +300,7 @@
     return !workflow.steps[run.task.step].gang && !workflow.policy.needs_advice;
   };
   for (const auto& [name, vm] : vms_) {
-    if (!MayBeReserved(name, vm, wait, now)) continue;
+    if (ReservationObstacle(name, wait, now) != Obstacle::kNone) continue;
     RoomOnVm& room = rooms.emplace_back();
     room.room = dispatch_internal::RoomBesideLongRunning(vm);
     auto& movable = runs.emplace_back(name, std::vector<RunRef>()).second;
@@ -254,6 +310,9 @@
       movable.push_back(run);
     }
   }
+  if (rooms.empty()) return false;
+  --searches;
+  room_sought_at_ = now;
   failed_searches_.Clear();
   const auto may_move = [&](const RoomMaker& move) {
     const auto& [name, movable] = runs[move.vm];
@@ -267,13 +326,20 @@
         ChooseVm(job, step, {ref.round, ref.step}, name, now, &target);
     return vm != nullptr && target != name;
   };
-  const auto move = ChooseRoomMaker(
-      rooms, dispatch_internal::RoomNeededBy(*wait.step), may_move);
+  const Resources need = dispatch_internal::RoomNeededBy(*wait.step);
+  const auto move = ChooseRoomMaker(rooms, need, may_move);
   if (!move) return false;
   const auto& [name, movable] = runs[move->vm];
   const RunRef& run = movable[move->task];
   MigrateRun(name, vms_[name], *Find(run.task.workflow), run,
              "makes room for a long-running task", now);
+  CapacityReservation reservation;
+  reservation.task = wait.task;
+  reservation.amount = need;
+  reservation.since = now;
+  reservation.firm = true;
+  reservations_.Set(name, reservation);
+  ++wait.job->reservations;
   return true;
 }
 
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -303,7 +303,8 @@
   }
   if (!reservations_.Admit(name, vm.status.capacity - vm.used,
                            job.progress.workflow().id,
-                           dispatch_internal::StepNumber(job, step), need)) {
+                           dispatch_internal::StepNumber(job, step), need,
+                           dispatch_internal::IsDown(job, step))) {
     return Obstacle::kReserved;
   }
   if (!IsHealthyFor(name, vm, job, step, now)) return Obstacle::kQuarantine;
@@ -360,6 +361,9 @@
   search.best_effort = step.best_effort;
   search.image = step.image;
   search.best_effort_rank = job.best_effort_rank;
+  if (dispatch_internal::IsDown(job, step)) {
+    search.rights |= kUseReservedCapacity;
+  }
   if (!stalls_.empty()) {
     if (dispatch_internal::MayProbe(step)) {
       search.rights |= kProbeStalledVm | kProbeVmStalledForLong;
--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -78,6 +78,7 @@
   held.image = step.image;
   held.tail_target = step.tail_target;
   held.long_running = step.long_running;
+  held.gang = step.gang;
   held.stays_on_stalled = job.progress.At(run.task).stall_moves >=
                           dispatch_internal::kMaxStallMoves;
   if (step.best_effort) {
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -123,24 +123,35 @@
 
 std::vector<WaitingTask> Dispatcher::WaitingTasks(size_t limit,
                                                   TimePoint now) const {
-  std::vector<WaitingTask> waiting;
+  std::vector<LongRunningWait> waits;
   for (const auto& [id, job] : jobs_) {
     if (job->progress.over()) continue;
-    const Workflow& workflow = job->progress.workflow();
-    for (uint32_t number = 0; number < workflow.steps.size(); ++number) {
-      const WorkflowStep& step = workflow.steps[number];
-      if (!step.long_running || step.gang) continue;
+    const auto& steps = job->progress.workflow().steps;
+    for (uint32_t number = 0; number < steps.size(); ++number) {
+      const WorkflowStep& step = steps[number];
+      if (!step.long_running || !dispatch_internal::IsOpen(*job, step)) {
+        continue;
+      }
       const auto& tasks = job->progress.TasksOf(0, number);
       for (uint32_t i = 0; i < tasks.size(); ++i) {
-        const TimePoint since =
-            tasks[i].last_run_ended_at.value_or(job->added_at);
-        const bool waits = tasks[i].phase == WorkflowProgress::Phase::kWaiting;
-        if (!waits || now - since < kLongWait) continue;
-        if (waiting.size() >= limit) return waiting;
-        waiting.push_back(Describe(*job, {id, 0, number, i}, now));
+        LongRunningWait wait;
+        wait.first_run = !tasks[i].last_run_ended_at;
+        wait.since = tasks[i].last_run_ended_at.value_or(job->added_at);
+        wait.job = job.get();
+        wait.task = {id, 0, number, i};
+        const bool waits_now =
+            tasks[i].phase == WorkflowProgress::Phase::kWaiting;
+        if (waits_now && now - wait.since >= kLongWait) waits.push_back(wait);
       }
     }
   }
+  std::sort(waits.begin(), waits.end());
+  if (waits.size() > limit) waits.resize(limit);
+  std::vector<WaitingTask> waiting;
+  waiting.reserve(waits.size());
+  for (const LongRunningWait& wait : waits) {
+    waiting.push_back(Describe(*wait.job, wait.task, now));
+  }
   return waiting;
 }
 
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -148,7 +148,7 @@
   DispatchSummary Summary(TimePoint now) const;
   // Finished workflows of which VMs still hold runs, the oldest first.
   std::vector<OrphanedWork> Orphans(TimePoint now) const;
-  // Long-running tasks that have waited for 2 s or more, up to `limit`.
+  // Long-running tasks that have waited for 2 s, those that have run first.
   std::vector<WaitingTask> WaitingTasks(size_t limit, TimePoint now) const;
   // Name of a VM that holds a run of the workflow; empty if none does.
   std::string VmThatHolds(const std::string& workflow) const;
@@ -344,20 +344,20 @@
   void CollectLongRunningWaits(Job& job, TimePoint now,
                                std::vector<LongRunningWait>& waits);
   void ReserveForLongRunning(TimePoint now);
-  // Whether the VM would take the task if it had room.
-  bool MayBeReserved(const std::string& name, const Vm& vm,
-                     const LongRunningWait& wait, TimePoint now) const;
-  // Reserves a VM other than `passed_over`; returns whether there is one.
-  bool ReserveVmFor(const LongRunningWait& wait, const std::string& passed_over,
-                    TimePoint now);
-  // Renews the task's reservation unless another VM is to be reserved.
+  // Why the VM would not take the task if it had room.
+  Obstacle ReservationObstacle(const std::string& name,
+                               const LongRunningWait& wait,
+                               TimePoint now) const;
+  bool ReserveVmFor(const LongRunningWait& wait, TimePoint now);
+  // Renew a reservation of the step that has not been in vain.
+  bool Renew(LongRunningWait& wait, ReservationsByStep& before, TimePoint now);
   bool KeepReservation(const std::string& name, CapacityReservation reservation,
                        const LongRunningWait& wait, TimePoint now);
-  // Stops what is needed of the short tasks on the reserved VM.
-  void StopShortTasks(const std::string& name, Vm& vm,
-                      const LongRunningWait& wait, TimePoint now);
+  // Stops as few short tasks as make the room; false if they can't.
+  bool StopShortTasks(const std::string& name, const Resources& need,
+                      TimePoint now);
   // Moves another long-running task if that makes room for the one that waits.
-  bool MakeRoomFor(const LongRunningWait& wait, TimePoint now);
+  bool MakeRoomFor(const LongRunningWait& wait, TimePoint now, int& searches);
   // Whether the VM's health allows the task.
   bool IsHealthyFor(const std::string& name, const Vm& vm, const Job& job,
                     const WorkflowStep& step, TimePoint now) const;
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -93,6 +93,8 @@
   Job* job = nullptr;
   const WorkflowStep* step = nullptr;
   TaskRef task;
+  bool reserved = false;        // Whether a VM is reserved for it.
+  std::set<std::string> tried;  // VMs that were reserved for it in vain.
 
   bool operator<(const LongRunningWait& other) const {
     return std::tie(first_run, since, task) <
@@ -116,6 +118,7 @@
   std::string image;
   Duration tail_target{};  // Positive for serving tasks.
   bool long_running = false;
+  bool gang = false;  // A member of one.
   // Whether it was started to find out whether the stalled VM progresses, and
   // whether its task was moved off stalled VMs so often that it stays.
   bool probes_stall = false;
@@ -222,6 +225,13 @@
   return static_cast<uint32_t>(&step - steps.data());
 }
 
+// Whether all steps that it waits for are done in the first round.
+inline bool IsOpen(const Job& job, const WorkflowStep& step) {
+  return std::all_of(
+      step.after.begin(), step.after.end(),
+      [&](uint32_t earlier) { return job.progress.StepDone(0, earlier); });
+}
+
 // What a task of the step takes from others. Best-effort tasks share the
 // processor time that others leave.
 inline Resources RoomNeededBy(const WorkflowStep& step) {
@@ -290,6 +300,33 @@
   return room;
 }
 
+// As above, beside gangs, too: none of them is stopped for another task.
+inline Resources RoomBesideGangs(const Vm& vm) {
+  Resources room = vm.status.capacity;
+  for (const auto& [run, held] : vm.held) {
+    const bool stays = held.long_running || held.gang;
+    if (stays && !vm.stops.Has(run)) room -= held.amount;
+  }
+  return room;
+}
+
+// Whether the step is long-running and one of its workflow's tasks that have
+// run before does not run.
+inline bool IsDown(const Job& job, const WorkflowStep& step) {
+  return step.long_running && job.down_since;
+}
+
+// Whether the advisor has allowed some runner for the step.
+inline bool HasTicket(const Job& job, const WorkflowProgress::OpenStep& open,
+                      TimePoint now) {
+  const auto advice = job.advice.find({open.round, open.step});
+  return advice != job.advice.end() &&
+         std::any_of(advice->second.tickets.begin(),
+                     advice->second.tickets.end(), [&](const auto& entry) {
+                       return entry.second.expires_at - now >= kMinTicketTime;
+                     });
+}
+
 // Whether a task of the step has been down so long that it may go to a VM in
 // quarantine.
 inline bool MayStartInQuarantine(const Job& job, const WorkflowStep& step,
@@ -298,6 +335,16 @@
          now - *job.down_since >= kMaxDowntime;
 }
 
+// Whether the task, which has run before, would start on a VM that admits it
+// and gets the room.
+inline bool LacksOnlyRoom(const LongRunningWait& wait, const Vm& vm,
+                          TimePoint now) {
+  const WorkflowProgress::OpenStep open{wait.task.round, wait.task.step};
+  return !wait.first_run &&
+         wait.job->progress.At(wait.task).crashed_runs.empty() &&
+         StepObstacle(vm, *wait.job, open, now) == Obstacle::kNone;
+}
+
 // Keeps other workflows off until a start at `begins` can no longer crash the
 // runner.
 inline void BeginTrial(Vm& vm, const std::string& workflow, TimePoint begins) {
--- a/beamhill/placement/failed_searches.h
+++ b/beamhill/placement/failed_searches.h
@@ -23,12 +23,13 @@
 
 // What makes VMs admit some tasks and not others. Flags.
 enum SearchRight : uint32_t {
-  kProbeStalledVm = 1U << 0,
-  kProbeVmStalledForLong = 1U << 1,
-  kStartInQuarantine = 1U << 2,
+  kUseReservedCapacity = 1U << 0,
+  kProbeStalledVm = 1U << 1,
+  kProbeVmStalledForLong = 1U << 2,
+  kStartInQuarantine = 1U << 3,
   // Some VM may admit this task alone, by a reservation, a trial or a
   // guaranteed run.
-  kOwnVm = 1U << 3,
+  kOwnVm = 1U << 4,
 };
 
 struct VmSearch {
--- a/beamhill/placement/failed_searches_test.cc
+++ b/beamhill/placement/failed_searches_test.cc
@@ -32,7 +32,7 @@
   failed.Add(Search(1000, kProbeStalledVm));
   EXPECT_TRUE(failed.RuleOut(Search(1000)));
   EXPECT_TRUE(failed.RuleOut(Search(1000, kProbeStalledVm)));
-  EXPECT_FALSE(failed.RuleOut(Search(1000, kStartInQuarantine)));
+  EXPECT_FALSE(failed.RuleOut(Search(1000, kUseReservedCapacity)));
   failed.Add(Search(1000, kOwnVm));
   EXPECT_FALSE(failed.RuleOut(Search(1000, kOwnVm)));
 }
--- a/beamhill/workflow/workflow_progress.h
+++ b/beamhill/workflow/workflow_progress.h
@@ -103,6 +103,8 @@
     std::string checkpoint;
     // Number of runs that were stopped because their VM was stalled.
     uint32_t stall_moves = 0;
+    // Number of runs that were stopped for long-running tasks.
+    uint32_t preemptions = 0;
     TimePoint held_since{};
     // The end of the last run; nullopt before the first one.
     std::optional<TimePoint> last_run_ended_at;
