Dispatcher: tasks of inherited workflows count as having run before

What callers saw: after a takeover, a long-running task that no VM runs waits for as long as short tasks fill every VM.

Cause: when a task last ran is not stored. A new owner took each such task for one that had never run: nothing was reserved for 1.5 s, all others came first, no short task was stopped and no room made.

Change: if the workflow is inherited and had begun, its waiting tasks count as down since this owner added it. They are collected only once all VMs have reported or leases are over, so none runs anywhere, and this owner has not started it: it has been down since then, but for a last lease on a VM that was silent. Workflows that have not begun are treated as before.

Evidence: TaskOfBegunWorkflowGetsRoom: a VM full of short tasks that run on. Not started within 4 s before; now it is. TaskOfWorkflowThatHasNotBegunStopsNone passed before, too.

--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -104,7 +104,7 @@
       const TaskRef ref{workflow.id, 0, number, i};
       if (task.phase != WorkflowProgress::Phase::kWaiting) continue;
       LongRunningWait wait;
-      wait.first_run = !task.last_run_ended_at;
+      wait.first_run = !dispatch_internal::HasRunBefore(job, task);
       wait.since = task.last_run_ended_at.value_or(job.added_at);
       wait.job = &job;
       wait.step = &step;
--- a/beamhill/dispatch/dispatch_summary.cc
+++ b/beamhill/dispatch/dispatch_summary.cc
@@ -94,7 +94,7 @@
   const WorkflowProgress::OpenStep open{ref.round, ref.step};
   WaitingTask waiting;
   waiting.task = ref;
-  waiting.first_run = !last_end;
+  waiting.first_run = !dispatch_internal::HasRunBefore(job, task);
   waiting.waited = now - last_end.value_or(job.added_at);
   if (!job.opened) {
     waiting.reason = WaitReason::kNotStored;
@@ -135,7 +135,7 @@
       const auto& tasks = job->progress.TasksOf(0, number);
       for (uint32_t i = 0; i < tasks.size(); ++i) {
         LongRunningWait wait;
-        wait.first_run = !tasks[i].last_run_ended_at;
+        wait.first_run = !dispatch_internal::HasRunBefore(*job, tasks[i]);
         wait.since = tasks[i].last_run_ended_at.value_or(job->added_at);
         wait.job = job.get();
         wait.task = {id, 0, number, i};
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -232,6 +232,12 @@
       [&](uint32_t earlier) { return job.progress.StepDone(0, earlier); });
 }
 
+// Whether the task has run. When it last ran under an earlier owner is not
+// stored: it counts as down since this one took over.
+inline bool HasRunBefore(const Job& job, const WorkflowProgress::Task& task) {
+  return task.last_run_ended_at || (job.inherited && job.progress.begun());
+}
+
 // What a task of the step takes from others. Best-effort tasks share the
 // processor time that others leave.
 inline Resources RoomNeededBy(const WorkflowStep& step) {
