Dispatcher: a trial that can't take a suspect does not hold it up

What callers saw: long-running tasks that waited for more than 6 s after their runners were lost, beside free VMs. With tasks kept apart (max_per_vm 1), 5 of 8 had started 6 s after the first loss, and also after the second.

Cause: a workflow had one trial at a time. While it lasted, no other task of the workflow started, although the VM on trial could not take it (at the step's limit, full or stalled) and even once the task had waited long enough to start without a trial. Each task that joined made the trial last longer.

Evidence: TasksKeptApartDoNotWaitForEachOthersTrials: 16 VMs, 8 tasks, one to three losses; 5 of 8 started within 6 s before (idle VMs, one and two losses), 8 of 8 now, also while other tasks start on all other VMs.

Change: a task joins any trial of its workflow that can take it now. It waits for one that has not begun only if that one has room beside the tasks that already wait for it; those are remembered with the trial. Otherwise another VM goes on trial, or the waits for a shared trial or none apply.

--- a/beamhill/dispatch/dispatch_crashes.cc
+++ b/beamhill/dispatch/dispatch_crashes.cc
@@ -71,6 +71,23 @@
   return cost;
 }
 
+// Whether the VM, whose trial has not begun, can take a task of the step beside
+// those that wait for it.
+bool HasRoomForAnother(const Vm& vm, const std::string& workflow,
+                       const WorkflowStep& step,
+                       const WorkflowProgress::OpenStep& open) {
+  const size_t waiting = vm.trial->awaited_by.size();
+  if (step.max_per_vm > 0 &&
+      dispatch_internal::HeldRunsOfStep(vm, workflow, open) + waiting >=
+          step.max_per_vm) {
+    return false;
+  }
+  const Resources need = dispatch_internal::RoomNeededBy(step);
+  Resources room = vm.status.capacity - vm.used;
+  for (size_t i = 0; i < waiting; ++i) room -= need;
+  return room.Holds(need);
+}
+
 }  // namespace
 
 void Dispatcher::RecordLostRunner(const std::string& name, Vm& vm,
@@ -205,30 +222,47 @@
                                dispatch_internal::kTrialMargin));
 }
 
+// A trial that can't take the task does not hold it up: other trials of the
+// workflow may go on at the same time, on a VM each.
 Dispatcher::Vm* Dispatcher::ChooseForTrial(const OpenStepRef& at,
-                                           WorkflowProgress::Task& task,
-                                           TimePoint now, std::string* name) {
-  const Job& job = *at.job;
+                                           uint32_t index, TimePoint now,
+                                           std::string* name) {
+  Job& job = *at.job;
   const WorkflowStep& step = job.progress.workflow().steps[at.open.step];
   const std::string& id = job.progress.workflow().id;
-  const auto of_this_workflow = [&](const auto& entry) {
-    return IsOnTrial(entry.second, now) && !entry.second.trial->shared &&
-           entry.second.trial->workflows.count(id) > 0;
+  const TaskRef ref{id, at.open.round, at.open.step, index};
+  WorkflowProgress::Task& task = job.progress.At(ref);
+  Vm* awaited = nullptr;
+  const auto find = [&]() -> Vm* {
+    for (auto& [vm_name, vm] : vms_) {
+      if (!IsOnTrial(vm, now) || vm.trial->shared ||
+          vm.trial->workflows.count(id) == 0 || stalls_.Avoids(vm_name) ||
+          !MayHost(vm, vm_name, job, step, at.open, now)) {
+        continue;
+      }
+      if (now >= vm.trial->begins) {
+        *name = vm_name;
+        return &vm;
+      }
+      const bool waits = vm.trial->awaited_by.count(ref) > 0;
+      const bool may_wait =
+          awaited == nullptr && HasRoomForAnother(vm, id, step, at.open);
+      if (waits || may_wait) awaited = &vm;
+    }
+    return nullptr;
   };
-  auto it = std::find_if(vms_.begin(), vms_.end(), of_this_workflow);
-  if (it == vms_.end()) {
+  Vm* vm = find();
+  if (vm == nullptr && awaited == nullptr) {
     OpenTrial(at, task, now);
-    it = std::find_if(vms_.begin(), vms_.end(), of_this_workflow);
+    vm = find();
   }
-  if (it != vms_.end()) {
-    Vm& vm = it->second;
-    if (now < vm.trial->begins || stalls_.Avoids(it->first) ||
-        !MayHost(vm, it->first, job, step, at.open, now)) {
-      return nullptr;
-    }
-    JoinTrial(vm, id, now);
-    *name = it->first;
-    return &vm;
+  if (vm != nullptr) {
+    JoinTrial(*vm, id, now);
+    return vm;
+  }
+  if (awaited != nullptr) {
+    awaited->trial->awaited_by.insert(ref);
+    return nullptr;
   }
   const Duration waited = now - SuspectWaitingSince(job, task);
   const size_t crashes = task.crashed_runs.size();
@@ -236,7 +270,7 @@
     if (crashes > kMaxCrashesToShare || waited <= kSharedTrialWait) {
       return nullptr;
     }
-    Vm* vm = ChooseForSharedTrial(at, now, name);
+    vm = ChooseForSharedTrial(at, now, name);
     if (vm != nullptr) task.shared_trial_run = NextRun(task);
     return vm;
   }
--- a/beamhill/dispatch/dispatch_crashes_test.cc
+++ b/beamhill/dispatch/dispatch_crashes_test.cc
@@ -92,6 +92,53 @@
   EXPECT_EQ(start_for(seconds(6)), kSuspects);
 }
 
+// Guards against tasks that wait, one after the other, for the trial of their
+// workflow on a VM that takes only one of them. Users count a long-running task
+// as lost after 6 s.
+TEST_F(DispatcherCrashesTest, TasksKeptApartDoNotWaitForEachOthersTrials) {
+  constexpr size_t kTasks = 8;
+  constexpr int kManyVms = 16;
+  for (const bool busy : {false, true}) {
+    for (const int losses : {1, 2, 3}) {
+      SCOPED_TRACE(std::to_string(losses) + (busy ? " busy" : " idle"));
+      TakeOwnership({});
+      alive_.clear();
+      for (int i = 1; i <= kManyVms; ++i) {
+        alive_.push_back("vm-" + std::to_string(i));
+        ConnectVm(alive_.back());
+      }
+      Workflow workflow = SingleStepWorkflow("a", kTasks, 2);
+      workflow.steps[0].long_running = true;
+      workflow.steps[0].max_per_vm = 1;
+      dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
+      std::vector<std::pair<std::string, RunRef>> running;
+      int others = 0;
+      const auto starts_in = [&](Duration time) {
+        for (const TimePoint end = now_ + time; now_ < end;) {
+          // A start on each VM that is not on trial.
+          Workflow other =
+              SingleStepWorkflow("b" + std::to_string(++others), kManyVms, 2);
+          other.steps[0].max_per_vm = 1;
+          other.steps[0].each = {10, 10, 0};
+          if (busy) dispatcher_->AddWorkflow(other, std::nullopt, now_);
+          AdvanceTime(milliseconds(250), alive_);
+          for (const auto& start : TakeSent().starts) {
+            if (start.second.task.workflow == "a") running.push_back(start);
+          }
+        }
+        return running.size();
+      };
+      for (int i = 0; i < losses; ++i) {
+        ASSERT_EQ(starts_in(seconds(6)), kTasks);
+        for (const auto& [vm, run] : std::exchange(running, {})) {
+          LoseRunner(vm, {run});
+        }
+      }
+      EXPECT_EQ(starts_in(seconds(6)), kTasks);
+    }
+  }
+}
+
 // Of the workflows that share a trial, all but one are innocent.
 TEST_F(DispatcherCrashesTest, LossOfASharedTrialIsNotCounted) {
   Workflow workflow = SingleStepWorkflow("a", 1, 2);
--- a/beamhill/dispatch/dispatch_placement.cc
+++ b/beamhill/dispatch/dispatch_placement.cc
@@ -185,7 +185,7 @@
     WorkflowProgress::Task& task = tasks[i];
     std::string name;
     const bool suspect = !task.crashed_runs.empty();
-    Vm* vm = suspect ? ChooseForTrial({&job, open}, task, now, &name)
+    Vm* vm = suspect ? ChooseForTrial({&job, open}, i, now, &name)
                      : ChooseVm(job, step, open, task.avoid_vm, now, &name);
     if (vm == nullptr && suspect) continue;
     if (vm == nullptr) return;
--- a/beamhill/dispatch/dispatcher.h
+++ b/beamhill/dispatch/dispatcher.h
@@ -375,8 +375,8 @@
   // Clears tasks whose run has lasted long enough.
   void ClearSuspects(TimePoint now);
   // A VM for the suspect's trial, which is started if needed; null without one.
-  Vm* ChooseForTrial(const OpenStepRef& at, WorkflowProgress::Task& task,
-                     TimePoint now, std::string* name);
+  Vm* ChooseForTrial(const OpenStepRef& at, uint32_t index, TimePoint now,
+                     std::string* name);
   // As ChooseForTrial, on a VM that several workflows may be tried on.
   Vm* ChooseForSharedTrial(const OpenStepRef& at, TimePoint now,
                            std::string* name);
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -158,7 +158,8 @@
   // From here on, no start of another workflow can be the cause of a crash.
   TimePoint begins{};
   TimePoint ends{};
-  bool shared = false;  // Other workflows may join.
+  bool shared = false;           // Other workflows may join.
+  std::set<TaskRef> awaited_by;  // Suspects that start here once it begins.
 };
 
 // A VM as reported by its executor, with the runs that it holds.
@@ -354,8 +355,8 @@
 // Keeps other workflows off until a start at `begins` can no longer crash the
 // runner.
 inline void BeginTrial(Vm& vm, const std::string& workflow, TimePoint begins) {
-  vm.trial =
-      Trial{{workflow}, begins, begins + kCrashWindow + kTrialMargin, false};
+  vm.trial = Trial{
+      {workflow}, begins, begins + kCrashWindow + kTrialMargin, false, {}};
 }
 
 // Lets another workflow start tasks on a VM that is on trial.
