Dispatcher: long-running tasks wait for no VM that the advisor refuses

What callers saw: long-running tasks of a queue that an advisor restricts waited beside free VMs, or while short tasks were stopped on VMs that can't take them.

Change: a step remembers the runners that were refused, asks about the others first, also about those without room while a long-running task waits, and judges its own limit before its tickets. Reservations prefer VMs that were allowed and leave out those that were refused.

--- a/beamhill/dispatch/dispatch_advice.cc
+++ b/beamhill/dispatch/dispatch_advice.cc
@@ -1,6 +1,9 @@
 // Dispatcher: follows the placement advisor, an external policy that allows
 // only some runners for a step and issues tickets for them.
+#include <algorithm>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "beamhill/dispatch/dispatcher.h"
 
@@ -12,34 +15,57 @@
 // Delay after a request that was not answered, or that allowed no runner.
 constexpr Duration kAdviceBackOff = std::chrono::milliseconds(400);
 
+bool HasWaitingTask(const WorkflowProgress& progress,
+                    const WorkflowProgress::OpenStep& open) {
+  const auto& tasks = progress.TasksOf(open.round, open.step);
+  return std::any_of(tasks.begin(), tasks.end(), [](const auto& task) {
+    return task.phase == WorkflowProgress::Phase::kWaiting;
+  });
+}
+
 }  // namespace
 
 // Returns whether the step's tasks may be placed now. If tickets are needed and
-// no runner with room has a valid one, requests advice.
+// no runner with room has a valid one, requests advice. What runners without
+// room may do is asked for tasks that may have one reserved for them.
 bool Dispatcher::HasAdvice(Job& job, const WorkflowProgress::OpenStep& open,
                            TimePoint now) {
   const Workflow& workflow = job.progress.workflow();
   if (!workflow.policy.needs_advice) return true;
   dispatch_internal::StepAdvice& advice = job.advice[{open.round, open.step}];
+  const WorkflowStep& step = workflow.steps[open.step];
+  const bool may_reserve =
+      step.long_running && !step.gang && HasWaitingTask(job.progress, open);
   std::vector<std::string> runners;
+  std::vector<std::string> refused;
+  std::vector<std::string> without_room;
   for (const auto& [name, vm] : vms_) {
-    if (FitObstacle(vm, name, job, workflow.steps[open.step], now) !=
-        Obstacle::kNone) {
+    const std::string& incarnation = vm.status.incarnation;
+    if (FitObstacle(vm, name, job, step, now) != Obstacle::kNone) {
+      if (may_reserve && advice.tickets.count(incarnation) == 0 &&
+          advice.refused.count(incarnation) == 0 &&
+          VmObstacle(vm, name, job, step, now) == Obstacle::kNone) {
+        without_room.push_back(incarnation);
+      }
       continue;
     }
-    if (dispatch_internal::TicketFor(job, open, vm.status.incarnation, now) !=
-        nullptr) {
-      return true;
-    }
-    if (runners.size() < kRunnersPerRequest) {
-      runners.push_back(vm.status.incarnation);
-    }
-  }
-  if (!advice.request_pending && now >= advice.retry_at && !runners.empty()) {
-    advice.request_pending = true;
-    advice_requests_.push_back(
-        {{workflow.id, open.round, open.step, 0}, std::move(runners)});
+    const Obstacle obstacle =
+        dispatch_internal::StepObstacle(vm, job, open, now);
+    if (obstacle == Obstacle::kNone) return true;
+    if (obstacle == Obstacle::kPerVmLimit) continue;
+    const bool in_vain = advice.refused.count(incarnation) > 0;
+    (in_vain ? refused : runners).push_back(incarnation);
   }
+  if (advice.request_pending || now < advice.retry_at) return false;
+  if (runners.empty()) runners = std::move(without_room);
+  // The advisor may have left out runners that it would allow.
+  if (runners.empty()) runners = std::move(refused);
+  if (runners.empty()) return false;
+  runners.resize(std::min(runners.size(), kRunnersPerRequest));
+  advice.request_pending = true;
+  advice.asked = runners;
+  advice_requests_.push_back(
+      {{workflow.id, open.round, open.step, 0}, std::move(runners)});
   return false;
 }
 
@@ -59,10 +85,12 @@
                   (advice ? std::to_string(advice->tickets.size()) + " runners"
                           : "no answer"));
   if (!advice) return;
+  state.refused.insert(state.asked.begin(), state.asked.end());
   const Duration ticket_lifetime =
       job->progress.workflow().policy.ticket_lifetime;
   for (const auto& [incarnation, text] : advice->tickets) {
     state.tickets[incarnation] = {text, now + ticket_lifetime};
+    state.refused.erase(incarnation);
   }
 }
 
--- a/beamhill/dispatch/dispatch_long_running.cc
+++ b/beamhill/dispatch/dispatch_long_running.cc
@@ -242,8 +242,8 @@
 }
 
 // The predicates are those of the start. VMs in quarantine and stalled ones are
-// left to their probes. As long as the advisor has allowed no VM, any may be
-// reserved: it is asked only about VMs that have room.
+// left to their probes. VMs that the advisor was not asked about yet may be
+// reserved.
 Obstacle Dispatcher::ReservationObstacle(const std::string& name,
                                          const LongRunningWait& wait,
                                          TimePoint now) const {
@@ -254,9 +254,10 @@
   const WorkflowProgress::OpenStep open{wait.task.round, wait.task.step};
   const Obstacle obstacle =
       dispatch_internal::StepObstacle(vm, *wait.job, open, now);
-  const bool unknown = obstacle == Obstacle::kAdvice &&
-                       !dispatch_internal::HasTicket(*wait.job, open, now);
-  if (obstacle != Obstacle::kNone && !unknown) return obstacle;
+  const bool refused =
+      dispatch_internal::VerdictOn(*wait.job, open, vm.status.incarnation) ==
+      dispatch_internal::AdvisorVerdict::kRefused;
+  if (obstacle == Obstacle::kPerVmLimit || refused) return obstacle;
   return VmObstacle(vm, name, *wait.job, *wait.step, now);
 }
 
@@ -266,11 +267,15 @@
 bool Dispatcher::ReserveVmFor(const LongRunningWait& wait, TimePoint now) {
   const Resources need = dispatch_internal::RoomNeededBy(*wait.step);
   const std::string* best = nullptr;
-  std::tuple<bool, bool, int64_t> best_rank;
+  const WorkflowProgress::OpenStep open{wait.task.round, wait.task.step};
+  std::tuple<bool, bool, bool, int64_t> best_rank;
   for (const auto& [name, vm] : vms_) {
     const Resources room = dispatch_internal::RoomBesideLongRunning(vm);
     if (!room.Holds(need)) continue;
-    const std::tuple rank(wait.tried.count(name) == 0,
+    const bool allowed =
+        dispatch_internal::VerdictOn(*wait.job, open, vm.status.incarnation) ==
+        dispatch_internal::AdvisorVerdict::kAllowed;
+    const std::tuple rank(wait.tried.count(name) == 0, allowed,
                           dispatch_internal::RoomBesideGangs(vm).Holds(need),
                           room.cpu_millis);
     if (best != nullptr && rank <= best_rank) continue;
--- a/beamhill/dispatch/dispatch_waits_test.cc
+++ b/beamhill/dispatch/dispatch_waits_test.cc
@@ -153,7 +153,7 @@
   Workflow serve = LongRunning("serve", 1, {4000, 100, 0});
   serve.policy.needs_advice = true;
   serve.policy.ticket_lifetime = seconds(100);
-  allowed_ = {"vm-3-incarnation-1"};
+  advised_ = {"vm-3"};
   dispatcher_->AddWorkflow(serve, std::nullopt, now_);
   ASSERT_LT(ToMillis(TimeToStart("serve")), ToMillis(kMaxWait));
   ASSERT_EQ(started_on_, "vm-3");
@@ -304,11 +304,11 @@
   Workflow serve = LongRunning("serve", 1, {4000, 100, 0});
   serve.policy.needs_advice = true;
   serve.policy.ticket_lifetime = seconds(1);
-  allowed_ = {"vm-1-incarnation-1", "vm-2-incarnation-1"};
+  advised_ = {"vm-1", "vm-2"};
   dispatcher_->AddWorkflow(serve, std::nullopt, now_);
   ASSERT_LT(ToMillis(TimeToStart("serve")), ToMillis(kMaxWait));
   AddShort("quick", 8, {1000, 100, 0});
-  allowed_.clear();
+  advised_.clear();
   Lapse(started_on_, SingleStepRun("serve", 0, 1001));
   for (int i = 0; i < 10; ++i) TimeToStart("serve", seconds(1000));
   int most = 0;
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -54,7 +54,9 @@
 struct StepAdvice {
   bool request_pending = false;  // A request awaits its answer.
   TimePoint retry_at{};
+  std::vector<std::string> asked;         // Incarnations in the last request.
   std::map<std::string, Ticket> tickets;  // By runner incarnation.
+  std::set<std::string> refused;  // Incarnations that were asked about in vain.
 };
 
 // A workflow with the scheduling state that its owner keeps for it.
@@ -269,6 +271,22 @@
   return it->second.expires_at - now >= kMinTicketTime ? &it->second : nullptr;
 }
 
+// What the advisor said of a runner when it was last asked; that does not
+// change, although tickets expire.
+enum class AdvisorVerdict : uint8_t { kUnknown, kAllowed, kRefused };
+inline AdvisorVerdict VerdictOn(const Job& job,
+                                const WorkflowProgress::OpenStep& open,
+                                const std::string& incarnation) {
+  const auto advice = job.advice.find({open.round, open.step});
+  if (advice == job.advice.end()) return AdvisorVerdict::kUnknown;
+  if (advice->second.refused.count(incarnation) > 0) {
+    return AdvisorVerdict::kRefused;
+  }
+  return advice->second.tickets.count(incarnation) > 0
+             ? AdvisorVerdict::kAllowed
+             : AdvisorVerdict::kUnknown;
+}
+
 // Number of runs of the step on the VM.
 inline uint32_t HeldRunsOfStep(const Vm& vm, const std::string& workflow,
                                const WorkflowProgress::OpenStep& open) {
@@ -287,13 +305,14 @@
                              TimePoint now) {
   const Workflow& workflow = job.progress.workflow();
   const WorkflowStep& step = workflow.steps[open.step];
-  if (workflow.policy.needs_advice &&
-      TicketFor(job, open, vm.status.incarnation, now) == nullptr) {
-    return Obstacle::kAdvice;
+  if (step.max_per_vm > 0 &&
+      HeldRunsOfStep(vm, workflow.id, open) >= step.max_per_vm) {
+    return Obstacle::kPerVmLimit;
   }
-  const bool full = step.max_per_vm > 0 &&
-                    HeldRunsOfStep(vm, workflow.id, open) >= step.max_per_vm;
-  return full ? Obstacle::kPerVmLimit : Obstacle::kNone;
+  const bool refused =
+      workflow.policy.needs_advice &&
+      TicketFor(job, open, vm.status.incarnation, now) == nullptr;
+  return refused ? Obstacle::kAdvice : Obstacle::kNone;
 }
 
 // What the VM has beside its long-running tasks. Those that are being stopped
@@ -323,17 +342,6 @@
   return step.long_running && job.down_since;
 }
 
-// Whether the advisor has allowed some runner for the step.
-inline bool HasTicket(const Job& job, const WorkflowProgress::OpenStep& open,
-                      TimePoint now) {
-  const auto advice = job.advice.find({open.round, open.step});
-  return advice != job.advice.end() &&
-         std::any_of(advice->second.tickets.begin(),
-                     advice->second.tickets.end(), [&](const auto& entry) {
-                       return entry.second.expires_at - now >= kMinTicketTime;
-                     });
-}
-
 // Whether a task of the step has been down so long that it may go to a VM in
 // quarantine.
 inline bool MayStartInQuarantine(const Job& job, const WorkflowStep& step,
@@ -347,9 +355,14 @@
 inline bool LacksOnlyRoom(const LongRunningWait& wait, const Vm& vm,
                           TimePoint now) {
   const WorkflowProgress::OpenStep open{wait.task.round, wait.task.step};
+  const Obstacle obstacle = StepObstacle(vm, *wait.job, open, now);
+  // An expired ticket is renewed once there is room.
+  const bool allowed = obstacle == Obstacle::kAdvice &&
+                       VerdictOn(*wait.job, open, vm.status.incarnation) ==
+                           AdvisorVerdict::kAllowed;
   return !wait.first_run &&
          wait.job->progress.At(wait.task).crashed_runs.empty() &&
-         StepObstacle(vm, *wait.job, open, now) == Obstacle::kNone;
+         (obstacle == Obstacle::kNone || allowed);
 }
 
 // Keeps other workflows off until a start at `begins` can no longer crash the
--- a/beamhill/dispatch/reservation_test_base.h
+++ b/beamhill/dispatch/reservation_test_base.h
@@ -66,6 +66,21 @@
     dispatcher_->AddWorkflow(workflow, std::nullopt, now_);
   }
 
+  // Allows the asked runners that are on VMs in `advised_`.
+  void AnswerAdviceRequests() {
+    for (const AdviceRequest& request : dispatcher_->TakeAdviceRequests()) {
+      Advice advice;
+      for (const std::string& vm : advised_) {
+        const std::string incarnation = StatusOf(vm).incarnation;
+        const auto& asked = request.incarnations;
+        if (std::find(asked.begin(), asked.end(), incarnation) != asked.end()) {
+          advice.tickets[incarnation] = "t";
+        }
+      }
+      dispatcher_->OnAdvice(request.step, advice, now_);
+    }
+  }
+
   // Time until a task of the workflow starts; kMaxWait if none does. Short
   // tasks end one at a time, each `ends_after` its start at the earliest.
   Duration TimeToStart(const std::string& workflow,
@@ -83,13 +98,7 @@
         stopping_.pop_front();
         EndStopped(ended.vm, ended.run);
       }
-      for (const AdviceRequest& request : dispatcher_->TakeAdviceRequests()) {
-        Advice advice;
-        for (const std::string& runner : request.incarnations) {
-          if (allowed_.count(runner) > 0) advice.tickets[runner] = "t";
-        }
-        dispatcher_->OnAdvice(request.step, advice, now_);
-      }
+      AnswerAdviceRequests();
       if (!running_.empty() && now_ - running_.front().at >= ends_after) {
         const Running ended = running_.front();
         running_.pop_front();
@@ -150,7 +159,7 @@
   std::deque<Running> stopping_;
   Duration stop_time_{};
   std::set<std::string> ignores_stops_;
-  std::set<std::string> allowed_;  // Runners that the advisor allows.
+  std::set<std::string> advised_;  // VMs that the placement advisor allows.
   std::map<TaskRef, int> stops_of_;
   std::optional<uint32_t> index_;
   size_t started_ = 0;
