Dispatcher: the end of a held run counts whatever its number

What callers would have seen: a long-running task whose run had lapsed did not start again while its VM went on sending heartbeats.

Cause: an end with a number below the highest one applied was dropped, although the owner still held its run. A runner that does not report its start time keeps its incarnation name across a restart and numbers its ends from 1 again. Reports make no missing run due for a stop, as inventories do.

Evidence: DispatcherLapseTest goes through eleven ways in which a lapsed run's end reaches the owner, or doesn't. EndWithALowerNumberThanAnother was not released within 7 s before and starts again now; the other ten passed before, too.

Change: such an end is applied and the numbering goes on from it. It is acknowledged only once it is listed again, as before.

--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -313,7 +313,9 @@
 
 void Dispatcher::ApplyEnd(const std::string& name, Vm& vm, const RunEnd& end,
                           TimePoint now) {
-  if (end.number <= vm.last_end) return;
+  // A held run's end is new whatever its number: a runner that keeps its
+  // incarnation name across a restart numbers its ends from 1 again.
+  if (end.number <= vm.last_end && vm.held.count(end.run) == 0) return;
   vm.last_end = end.number;
   Job* job = Find(end.run.task.workflow);
   if (job != nullptr && job->progress.Has(end.run.task)) {
@@ -326,11 +328,12 @@
 
 void Dispatcher::ApplyListedEnd(const std::string& name, Vm& vm,
                                 const RunEnd& end, TimePoint now) {
+  const bool numbered_anew =
+      end.number <= vm.last_end && vm.held.count(end.run) > 0;
   ApplyEnd(name, vm, end, now);
   // An end that is still listed has not been acknowledged, whatever was sent.
-  // An end that could not be applied must never be acknowledged.
-  const bool applied = vm.held.count(end.run) == 0;
-  if (applied) {
+  // One of a new numbering is acknowledged once it is listed again.
+  if (!numbered_anew) {
     vm.acknowledged_end = std::min(vm.acknowledged_end, end.number - 1);
   }
 }
