Dispatcher: the room beside gangs is counted, not summed up each time

Cause: with hundreds of waiting tasks and VMs, the runs of each VM would have been gone through for each task ten times a second (read; not measured).

Change: a VM's state keeps the sum of its gangs' requests beside that of its long-running tasks.

--- a/beamhill/dispatch/dispatch_runs.cc
+++ b/beamhill/dispatch/dispatch_runs.cc
@@ -96,6 +96,7 @@
     image.tail_target = step.tail_target;
   }
   if (held.long_running) vm.long_running += held.amount;
+  if (held.gang && !held.long_running) vm.gangs += held.amount;
   vm.best_effort_cpu += held.best_effort_cpu;
   vm.used += held.amount;
   vm.held[run] = held;
@@ -118,6 +119,7 @@
     if (vm.best_effort[held.image] <= 0) vm.best_effort.erase(held.image);
   }
   if (held.long_running) vm.long_running -= held.amount;
+  if (held.gang && !held.long_running) vm.gangs -= held.amount;
   vm.best_effort_cpu -= held.best_effort_cpu;
   vm.used -= held.amount;
   vm.held.erase(it);
--- a/beamhill/dispatch/internal/dispatch_state.h
+++ b/beamhill/dispatch/internal/dispatch_state.h
@@ -194,6 +194,7 @@
   int64_t best_effort_cpu = 0;  // Requested, in millicores.
   int64_t serving_cpu = 0;      // The part of `used` of serving tasks.
   Resources long_running;       // The part of long-running tasks.
+  Resources gangs;              // The part of other tasks that are in gangs.
   std::map<std::string, ServingImage> serving;
   // Requested millicores, by image.
   std::map<std::string, int64_t> best_effort;
@@ -328,12 +329,7 @@
 
 // As above, beside gangs, too: none of them is stopped for another task.
 inline Resources RoomBesideGangs(const Vm& vm) {
-  Resources room = vm.status.capacity;
-  for (const auto& [run, held] : vm.held) {
-    const bool stays = held.long_running || held.gang;
-    if (stays && !vm.stops.Has(run)) room -= held.amount;
-  }
-  return room;
+  return RoomBesideLongRunning(vm) - vm.gangs;
 }
 
 // Whether the step is long-running and one of its workflow's tasks that have
