--- a/beamhill/dispatch/dispatch_best_effort.cc
+++ b/beamhill/dispatch/dispatch_best_effort.cc
@@ -111,8 +111,9 @@
 bool Dispatcher::HasBestEffortRoom(const Vm& vm, const Job& job,
                                    const WorkflowStep& step) const {
   if (dispatch_internal::NeedsGuaranteedRun(job) &&
-      LeavesHeadroom(vm, step.each))
+      LeavesHeadroom(vm, step.each)) {
     return true;
+  }
   const auto asked = static_cast<double>(step.each.cpu_millis);
   if (FreeCpuFor(vm, job.best_effort_rank) < asked) return false;
   // A task may displace those of higher rank, within a limit.
