--- a/beamhill/dispatch/dispatch_layout.cc
+++ b/beamhill/dispatch/dispatch_layout.cc
@@ -129,8 +129,9 @@
   std::optional<double> least;
   for (const auto& [name, vm] : vms_) {
     if (name == except ||
-        FitObstacle(vm, name, job, step, now) != Obstacle::kNone)
+        FitObstacle(vm, name, job, step, now) != Obstacle::kNone) {
       continue;
+    }
     const uint32_t held =
         dispatch_internal::HeldRunsOfStep(vm, job.progress.workflow().id, at);
     if (step.max_per_vm > 0 && held >= step.max_per_vm) continue;
--- a/beamhill/dispatch/dispatch_takeover_waits_test.cc
+++ b/beamhill/dispatch/dispatch_takeover_waits_test.cc
@@ -7,7 +7,6 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using testing::SizeIs;
 
 constexpr uint32_t kShortTasks = 8;
 constexpr Duration kStep = milliseconds(50);
--- a/beamhill/dispatch/dispatch_waits_test.cc
+++ b/beamhill/dispatch/dispatch_waits_test.cc
@@ -199,6 +199,7 @@
 TEST_P(DispatcherRoomSearchTest, RoomIsMadeForTheFifthTask) {
   Connect("gone");
   std::vector<RunRef> gone;
+  gone.reserve(static_cast<size_t>(GetParam()));
   for (int i = 0; i < GetParam(); ++i) {
     gone.push_back(
         StartFixed("gone-" + std::to_string(i), "gone", {1000, 100, 0}));
