--- a/beamhill/replay/waiting_replay_test.cc
+++ b/beamhill/replay/waiting_replay_test.cc
@@ -41,5 +41,10 @@
   for (const uint64_t seed : {9, 479, 538}) ExpectNoWaitBesideRoom(seed);
 }
 
+// Guards against a task that waits for short tasks on VMs that would take it.
+TEST(WaitingReplayTest, TaskGetsTheRoomOfShortTasks) {
+  ExpectNoWaitBesideRoom(76);
+}
+
 }  // namespace
 }  // namespace beamhill
