Review cases 4 and 5: errors of a script don't read as a broken rule

A script that ended with an exception exited with 1, which reads as a broken rule; it exits with 2 now. Ports are not given out twice in a run.

--- a/review/5/run.py
+++ b/review/5/run.py
@@ -15,7 +15,8 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standins-2"))
-from standins2 import Deployment, Record, call, config, queue  # noqa: E402
+from standins2 import (  # noqa: E402
+    Deployment, Record, call, config, exit_with, queue)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "case.example"
@@ -115,4 +116,4 @@
         d.down()
 
 
-sys.exit(asyncio.run(main(sys.argv[1])))
+exit_with(main(sys.argv[1]))
--- a/review/standins-2/standins2.py
+++ b/review/standins-2/standins2.py
@@ -15,9 +15,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
@@ -30,10 +32,27 @@
     return time.monotonic()
 
 
+PORTS = set()  # Those given out, with their addresses.
+
+
 def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+    while True:
+        with socket.socket() as s:
+            s.bind((ip, 0))
+            port = s.getsockname()[1]
+        if (ip, port) not in PORTS:
+            PORTS.add((ip, port))
+            return port
+
+
+def exit_with(play):
+    """Runs the case and exits with its code; with 2 if it fails itself."""
+    try:
+        code = asyncio.run(play)
+    except (Exception, KeyboardInterrupt):  # An error must not read as 1.
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
 
 
 class Record:
