--- a/review/stand-ins-3/deployment.py
+++ b/review/stand-ins-3/deployment.py
@@ -617,10 +617,14 @@
             "limits": {}}))
 
     def __enter__(self):
-        for machine in self.fronts + self.sides:
-            machine.start()
-        for runner in self.runners:
-            runner.start()
+        try:
+            for machine in self.fronts + self.sides:
+                machine.start()
+            for runner in self.runners:
+                runner.start()
+        except Exception:
+            self.__exit__()
+            raise
         return self
 
     def __exit__(self, *_):
@@ -752,3 +756,17 @@
 def troubled():
     """Whether the case is to run with its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
+
+
+BROKEN = 10  # What a case exits with; Python itself exits with 1 on an error.
+
+
+def run_case(play, folder):
+    """Plays the case; returns 0 if the rule held, BROKEN, or 2 if the case could
+    not be played."""
+    record = Record(os.path.join(folder, "record.txt"))
+    try:
+        return {0: 0, 1: BROKEN}.get(play(record), 2)
+    except Exception as error:  # This says nothing about the rule.
+        record.write(f"could not be played: {type(error).__name__}: {error}")
+        return 2
