--- a/review/11/case.py
+++ b/review/11/case.py
@@ -59,9 +59,9 @@
             f"{d.active(JOB)} of {TASKS} tasks run, {back - at:.1f} s after "
             f"the loss; state {d.state(JOB, front)}; machines left: {len(left)} "
             f"of {SIDES}, each with 16 cores of which at most 0.5 are used")
-        # The earliest span of 3 s that is judged begins 6 s after the last run
-        # and has 4 calm seconds before it.
-        judged_from = max(at + AWAY_S, over + CALM_S)
+        # The earliest span of 3 s that is judged begins 6 s after the end of the
+        # last run, and has 4 calm seconds before it.
+        judged_from = over + max(AWAY_S, CALM_S)
         if back > judged_from + NOTHING_S:
             record.write(f"LOST: nothing of {', '.join(tasks)} ran for 3 s "
                          f"from {judged_from:.1f} s on, and not before "
